--- a/src/bin/steploom-wirehost.rs
+++ b/src/bin/honeypost-wirehost.rs
@@ -2,13 +2,13 @@
 
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
-use steploom::wire::Host;
+use honeypost::wire::Host;
 
 fn main() -> ExitCode {
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("steploom-wirehost: {message}");
+            eprintln!("honeypost-wirehost: {message}");
             ExitCode::from(2)
         }
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,4 +1,4 @@
-//! Every decision of steploom. What passes in and out of it is in `interface.rs`.
+//! Every decision of honeypost. What passes in and out of it is in `interface.rs`.
 //!
 //! Requests are sorted into tiers by worth and held; a free run slot starts the oldest of the highest
 //! non-empty tier, which runs to its end. A lower-tier arrival is refused at once while the total held
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,11 @@
-//! steploom: an overload controller that lives inside each server of a fleet.
+//! honeypost: an overload controller that lives inside each server of a fleet.
 //!
 //! A worker owns one [`Controller`]. It reports what happens to it, one [`Event`] at a time and with its
 //! clock, and carries out the [`Action`]s that come back, in their order. The controller does no input or
 //! output, starts no thread, reads no clock and draws nothing at random: the same events give the same actions.
 //!
 //! ```
-//! use steploom::{Action, Arrival, Class, Controller, Effect, Event, Outcome, RequestId, Settings};
+//! use honeypost::{Action, Arrival, Class, Controller, Effect, Event, Outcome, RequestId, Settings};
 //!
 //! let settings = Settings {
 //!     cores: 2,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1,6 +1,6 @@
 //! One test for each failure found on the bench, and each rule of the mechanism at its boundary.
 
-use steploom::{
+use honeypost::{
     Action, Arrival, Class, Controller, Dependency, Effect, Event, Gauges, Halting, Outcome, RequestId,
     Settings, Signal, Tenant,
 };
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The adapter, against lines written for these tests.
 
-use steploom::wire::Host;
+use honeypost::wire::Host;
 
 fn provision(worker: u64, extra: &str) -> String {
     format!(
--- a/tests/worker.rs
+++ b/tests/worker.rs
@@ -1,7 +1,7 @@
 //! A small legal worker played against the module from a seed; the four rules are asserted at every step.
 
 use std::collections::{BTreeMap, VecDeque};
-use steploom::{
+use honeypost::{
     Action, Arrival, Class, Controller, Dependency, Effect, Event, Gauges, Halting, Outcome, RequestId,
     Settings, Signal, Tenant,
 };
