--- a/src/bin/honeypost-wirehost.rs
+++ b/src/bin/honeypost-wirehost.rs
@@ -1,8 +1,8 @@
 //! Hosts controllers behind the line protocol on standard input and output.
 
+use honeypost::wire::Host;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
-use honeypost::wire::Host;
 
 fn main() -> ExitCode {
     match serve() {
--- a/tests/worker.rs
+++ b/tests/worker.rs
@@ -1,10 +1,10 @@
 //! A small legal worker played against the module from a seed; the four rules are asserted at every step.
 
-use std::collections::{BTreeMap, VecDeque};
 use honeypost::{
     Action, Arrival, Class, Controller, Dependency, Effect, Event, Gauges, Halting, Outcome, RequestId,
     Settings, Signal, Tenant,
 };
+use std::collections::{BTreeMap, VecDeque};
 
 struct Dice(u64);
 
