--- /dev/null
+++ b/src/core/keys.rs
@@ -0,0 +1,187 @@
+//! The table of operation keys: which try holds a key, until when, and the result that its run left.
+//!
+//! An entry is kept a while beyond its time: a try counts from when it reached the machine, and it may lie unread.
+
+use crate::interface::RequestId;
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+/// How long after its time an entry still serves tries that arrived within it (seconds).
+const LATE_READING_S: f64 = 6.0;
+
+/// What a key is unique within: a class and a tenant.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct KeyName {
+    pub class: usize,
+    pub tenant: Option<usize>,
+    pub key: Rc<str>,
+}
+
+/// Where the run of a key stands.
+#[derive(Clone, Debug)]
+pub enum Progress {
+    /// Its holder has not ended.
+    Open,
+    /// It ended well; the result is absent where it could not be kept.
+    Served(Option<Rc<[u8]>>),
+    /// It failed, or it is not known how it went.
+    Failed,
+}
+
+/// A key in the table.
+#[derive(Debug)]
+pub struct Entry {
+    pub holder: RequestId,
+    pub progress: Progress,
+    expires: f64,
+    /// Tries that get what the holder gets.
+    pub waiting: Vec<RequestId>,
+}
+
+/// All keys, with a bound on the bytes of kept results.
+pub struct Keys {
+    entries: HashMap<KeyName, Entry>,
+    served: VecDeque<KeyName>,
+    kept: usize,
+    room: usize,
+}
+
+impl Keys {
+    pub fn new(room: usize) -> Self {
+        Keys { entries: HashMap::new(), served: VecDeque::new(), kept: 0, room }
+    }
+
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// The holder that a try with this key repeats, by the time it reached the machine. A key whose run is
+    /// still open is linked however late the try is: guards against a second run beside a hung one.
+    pub fn linked(&self, name: &KeyName, arrived: f64) -> Option<RequestId> {
+        let entry = self.entries.get(name)?;
+        (arrived <= entry.expires || matches!(entry.progress, Progress::Open)).then_some(entry.holder)
+    }
+
+    pub fn get_mut(&mut self, name: &KeyName) -> Option<&mut Entry> {
+        self.entries.get_mut(name)
+    }
+
+    /// Records a request as the holder of its key, or renews its entry.
+    pub fn remember(&mut self, name: &KeyName, holder: RequestId, expires: f64) {
+        let stale = self.entries.get(name).is_some_and(|e| e.holder != holder);
+        if stale && !matches!(self.entries[name].progress, Progress::Open) {
+            self.remove(name);
+        }
+        let entry = self.entries.entry(name.clone()).or_insert_with(|| Entry {
+            holder,
+            progress: Progress::Open,
+            expires,
+            waiting: Vec::new(),
+        });
+        (entry.holder, entry.expires) = (holder, expires);
+    }
+
+    /// Takes the key of a request that never ran from the table. An entry whose run has ended stays: a
+    /// result that is gone while its window lasts would let a second run in.
+    pub fn forget(&mut self, name: &KeyName, holder: RequestId) {
+        if self.entries.get(name).is_some_and(|e| e.holder == holder && matches!(e.progress, Progress::Open))
+        {
+            self.remove(name);
+        }
+    }
+
+    /// The run of a key has ended; returns the tries that wait for it.
+    pub fn ended(&mut self, name: &KeyName, holder: RequestId, result: Option<Rc<[u8]>>) -> Vec<RequestId> {
+        let Some(entry) = self.entries.get_mut(name).filter(|e| e.holder == holder) else {
+            return Vec::new();
+        };
+        let waiting = std::mem::take(&mut entry.waiting);
+        entry.progress = match result {
+            None => Progress::Failed,
+            Some(result) => {
+                self.kept += result.len();
+                self.served.push_back(name.clone());
+                Progress::Served(Some(result))
+            }
+        };
+        // Guards the memory limit: the oldest results go, their links stay, so that nothing runs twice.
+        while self.kept > self.room {
+            let Some(oldest) = self.served.pop_front() else { break };
+            self.drop_result(&oldest);
+        }
+        waiting
+    }
+
+    fn drop_result(&mut self, name: &KeyName) {
+        if let Some(Progress::Served(result)) = self.entries.get_mut(name).map(|e| &mut e.progress) {
+            self.kept -= result.take().map_or(0, |r| r.len());
+        }
+    }
+
+    fn remove(&mut self, name: &KeyName) {
+        self.drop_result(name);
+        self.entries.remove(name);
+        self.served.retain(|n| n != name);
+    }
+
+    /// Drops what can link nothing any more.
+    pub fn sweep(&mut self, now: f64) {
+        let over = |e: &Entry| now > e.expires + LATE_READING_S && !matches!(e.progress, Progress::Open);
+        let gone: Vec<KeyName> =
+            self.entries.iter().filter(|(_, e)| over(e)).map(|(n, _)| n.clone()).collect();
+        gone.iter().for_each(|name| self.remove(name));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn name(key: &str) -> KeyName {
+        KeyName { class: 0, tenant: None, key: key.into() }
+    }
+
+    #[test]
+    fn a_try_is_linked_by_its_arrival_not_by_when_it_is_read() {
+        let mut keys = Keys::new(100);
+        keys.remember(&name("a"), RequestId(1), 10.0);
+        keys.ended(&name("a"), RequestId(1), Some(Rc::from(*b"done")));
+        keys.sweep(12.0);
+        assert_eq!(keys.linked(&name("a"), 9.9), Some(RequestId(1)));
+        assert_eq!(keys.linked(&name("a"), 10.1), None);
+        keys.sweep(17.0);
+        assert!(keys.is_empty());
+    }
+
+    #[test]
+    fn an_open_run_is_linked_beyond_its_time() {
+        let mut keys = Keys::new(100);
+        keys.remember(&name("a"), RequestId(1), 10.0);
+        keys.sweep(30.0);
+        assert_eq!(keys.linked(&name("a"), 30.0), Some(RequestId(1)));
+    }
+
+    #[test]
+    fn results_beyond_the_room_go_oldest_first_and_their_links_stay() {
+        let mut keys = Keys::new(10);
+        for (i, key) in ["a", "b"].iter().enumerate() {
+            keys.remember(&name(key), RequestId(i as u64), 10.0);
+            keys.ended(&name(key), RequestId(i as u64), Some(Rc::from(*b"sevenby")));
+        }
+        assert_eq!(keys.linked(&name("a"), 1.0), Some(RequestId(0)));
+        assert!(matches!(keys.get_mut(&name("a")).unwrap().progress, Progress::Served(None)));
+        assert!(matches!(keys.get_mut(&name("b")).unwrap().progress, Progress::Served(Some(_))));
+    }
+
+    #[test]
+    fn a_key_is_only_known_within_its_class_and_tenant() {
+        let mut keys = Keys::new(10);
+        keys.remember(&name("a"), RequestId(1), 10.0);
+        let other = KeyName { tenant: Some(2), ..name("a") };
+        assert_eq!(keys.linked(&other, 1.0), None);
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,408 @@
+//! The bookkeeping between fronts, the controller and backends, in requests, attempts and outcomes.
+//!
+//! Nothing here knows a wire, a socket or a clock: the time is passed in, events go in one by one and commands
+//! come out in their order. The core sees to it that each request gets one answer, that a key is run once, and
+//! that a call in hand is given up when its run ends.
+
+pub mod keys;
+
+use crate::brain::Controller;
+use crate::interface::{Action, Arrival, Event, Gauges, Outcome, RequestId, Settings};
+use keys::{KeyName, Keys, Progress};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+/// Where an answer is owed: handed back unread to the front that gave it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Ticket(pub u64);
+
+/// A request as a front hands it over: whole, checked, and owed one answer from here on.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub ticket: Ticket,
+    /// Its name towards backends; never used twice.
+    pub name: Rc<str>,
+    pub class: usize,
+    pub tenant: Option<usize>,
+    pub caller: u64,
+    pub kb: f64,
+    pub unread_s: f64,
+    pub patience_s: f64,
+    pub size_s: Option<f64>,
+    pub key: Option<Rc<str>>,
+    pub retry: bool,
+    pub body: Rc<[u8]>,
+}
+
+/// The one answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Served(Rc<[u8]>),
+    /// Turned away, with advice when to come back and whether to try others.
+    Refused {
+        stay_away_s: f64,
+        no_other: bool,
+    },
+    Failed,
+    /// Its time ran out before it came to an end.
+    OutOfTime,
+}
+
+/// What happens round the core. Names that are not known any more are let pass.
+#[derive(Debug)]
+pub enum Input {
+    Arrived(Request),
+    /// A backend has ended a run; the result comes with [`Outcome::Ok`].
+    RunEnded {
+        name: Rc<str>,
+        outcome: Outcome,
+        result: Option<Rc<[u8]>>,
+    },
+    /// A run stands at a call with this body; the mark goes back with a skip.
+    AtCall {
+        name: Rc<str>,
+        body: Rc<[u8]>,
+        mark: u64,
+    },
+    /// A call below has ended; the reply comes with [`Outcome::Ok`].
+    CallEnded {
+        name: Rc<str>,
+        outcome: Outcome,
+        reply: Option<Rc<[u8]>>,
+    },
+    /// The backend has lost all runs: none of them will end by itself.
+    RunsLost,
+    Leave {
+        in_s: f64,
+    },
+    Woken(Gauges),
+}
+
+/// What is to be done, in this order.
+#[derive(Debug, PartialEq)]
+pub enum Command {
+    Answer(Ticket, Answer),
+    Run { name: Rc<str>, class: usize, body: Rc<[u8]>, due: f64 },
+    Call { name: Rc<str>, body: Rc<[u8]>, for_s: f64 },
+    GiveUpCall(Rc<str>),
+    Resume { name: Rc<str>, reply: Rc<[u8]> },
+    SkipCall { name: Rc<str>, mark: u64 },
+    Health(bool),
+    Publish(f64),
+    CloseIdle(f64),
+    WakeIn(f64),
+    Log(String),
+}
+
+/// A run that its backend has gone silent on holds its slot for this long after its due time (seconds).
+const SILENT_RUN_S: f64 = 30.0;
+/// An answer given this close to the due time is one for lack of time (seconds).
+const NEAR_DUE_S: f64 = 0.2;
+
+struct Held {
+    request: Request,
+    due: f64,
+    arrived: f64,
+    answered: bool,
+    started: bool,
+    key: Option<KeyName>,
+    at_call: Option<(Rc<[u8]>, u64)>,
+    calling: bool,
+}
+
+/// The core of one worker.
+pub struct Core {
+    controller: Controller,
+    requests: HashMap<RequestId, Held>,
+    names: HashMap<Rc<str>, RequestId>,
+    keys: Keys,
+    next: u64,
+    owed: usize,
+    actions: Vec<Action>,
+    swept: f64,
+}
+
+impl Core {
+    /// A core for a worker that started at `born`, with so many bytes for kept results.
+    pub fn new(settings: Settings, born: f64, result_bytes: usize, out: &mut Vec<Command>) -> Self {
+        let mut actions = Vec::new();
+        let controller = Controller::new(settings, born, &mut actions);
+        let mut core = Core {
+            controller,
+            requests: HashMap::new(),
+            names: HashMap::new(),
+            keys: Keys::new(result_bytes),
+            next: 0,
+            owed: 0,
+            actions,
+            swept: born,
+        };
+        core.carry_out(born, &mut VecDeque::new(), out);
+        core
+    }
+
+    /// Answers still owed.
+    pub fn owed(&self) -> usize {
+        self.owed
+    }
+
+    /// Whether a request of this name is in hand: a second one must not come in.
+    pub fn knows(&self, name: &str) -> bool {
+        self.names.contains_key(name)
+    }
+
+    /// Takes all that a turn has gathered.
+    pub fn handle(&mut self, now: f64, inputs: impl IntoIterator<Item = Input>, out: &mut Vec<Command>) {
+        let mut events = VecDeque::new();
+        for input in inputs {
+            self.take(now, input, &mut events, out);
+            while let Some(event) = events.pop_front() {
+                let mut actions = std::mem::take(&mut self.actions);
+                self.controller.handle(now, event, &mut actions);
+                self.actions = actions;
+                self.carry_out(now, &mut events, out);
+            }
+        }
+        if now - self.swept >= 1.0 {
+            self.swept = now;
+            self.keys.sweep(now);
+            self.drop_silent_runs(now, out);
+        }
+        // Only requests that have ended everywhere leave the controller; their numbers are never used again.
+        self.controller.take_released();
+    }
+
+    fn take(&mut self, now: f64, input: Input, events: &mut VecDeque<Event>, out: &mut Vec<Command>) {
+        match input {
+            Input::Arrived(request) => events.extend(self.arrived(now, request, out)),
+            Input::RunEnded { name, outcome, result } => {
+                if let Some(&id) = self.names.get(&name) {
+                    self.run_ended(id, outcome, result, events, out);
+                }
+            }
+            Input::AtCall { name, body, mark } => {
+                let id = self.names.get(&name).copied();
+                if let Some((id, held)) = id.and_then(|id| Some((id, self.requests.get_mut(&id)?))) {
+                    held.at_call = Some((body, mark));
+                    events.push_back(Event::AtCall(id));
+                }
+            }
+            Input::CallEnded { name, outcome, reply } => {
+                let id = self.names.get(&name).copied();
+                let Some((id, held)) = id.and_then(|id| Some((id, self.requests.get_mut(&id)?))) else {
+                    return;
+                };
+                if !std::mem::take(&mut held.calling) {
+                    return;
+                }
+                if let (Outcome::Ok, Some(reply)) = (outcome, reply) {
+                    held.at_call = None;
+                    out.push(Command::Resume { name, reply });
+                }
+                events.push_back(Event::CallEnded { id, outcome });
+            }
+            Input::RunsLost => {
+                let mut lost: Vec<RequestId> =
+                    self.requests.iter().filter(|(_, h)| h.started).map(|(id, _)| *id).collect();
+                lost.sort_unstable();
+                for id in lost {
+                    self.run_ended(id, Outcome::Error, None, events, out);
+                }
+            }
+            Input::Leave { in_s } => events.push_back(Event::Leave { in_s }),
+            Input::Woken(gauges) => events.push_back(Event::Woken(gauges)),
+        }
+    }
+
+    fn arrived(&mut self, now: f64, request: Request, out: &mut Vec<Command>) -> Option<Event> {
+        // Guards the executor's names: two requests of one name could not be told apart.
+        if self.names.contains_key(&request.name) {
+            out.push(Command::Answer(request.ticket, Answer::Failed));
+            return None;
+        }
+        self.next += 1;
+        let id = RequestId(self.next);
+        let arrived = now - request.unread_s;
+        let key =
+            request.key.clone().map(|key| KeyName { class: request.class, tenant: request.tenant, key });
+        let repeats = key.as_ref().and_then(|k| self.keys.linked(k, arrived));
+        let event = Event::Arrived(Arrival {
+            id,
+            class: request.class,
+            tenant: request.tenant,
+            caller: request.caller,
+            kb: request.kb,
+            unread_s: request.unread_s,
+            patience_s: Some(request.patience_s),
+            size_s: request.size_s,
+            repeats,
+            retry: request.retry,
+        });
+        self.names.insert(request.name.clone(), id);
+        self.owed += 1;
+        let due = now + request.patience_s;
+        let (answered, started, calling) = (false, false, false);
+        self.requests
+            .insert(id, Held { request, due, arrived, answered, started, key, at_call: None, calling });
+        Some(event)
+    }
+
+    /// Gives the answer, unless one was given.
+    fn answer(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Command>) {
+        let Some(held) = self.requests.get_mut(&id).filter(|h| !h.answered) else { return };
+        held.answered = true;
+        self.owed -= 1;
+        out.push(Command::Answer(held.request.ticket, answer));
+    }
+
+    fn remove(&mut self, id: RequestId) {
+        if let Some(held) = self.requests.remove(&id) {
+            self.names.remove(&held.request.name);
+        }
+    }
+
+    /// A run has come to its end, whatever end: what is owed for it is given, and what waits for its key gets
+    /// the same.
+    fn run_ended(
+        &mut self,
+        id: RequestId,
+        outcome: Outcome,
+        result: Option<Rc<[u8]>>,
+        events: &mut VecDeque<Event>,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(held) = self.requests.get(&id) else { return };
+        let result = result.filter(|_| outcome == Outcome::Ok);
+        let (key, calling, name) = (held.key.clone(), held.calling, held.request.name.clone());
+        if calling {
+            out.push(Command::GiveUpCall(name));
+        }
+        let answer = |result: &Option<Rc<[u8]>>| result.clone().map_or(Answer::Failed, Answer::Served);
+        self.answer(id, answer(&result), out);
+        self.remove(id);
+        events.push_back(Event::RunEnded { id, outcome });
+        let Some(key) = key else { return };
+        for other in self.keys.ended(&key, id, result.clone()) {
+            if self.requests.contains_key(&other) {
+                self.answer(other, answer(&result), out);
+                self.remove(other);
+                let outcome = if result.is_some() { Outcome::Ok } else { Outcome::Error };
+                events.push_back(Event::RunEnded { id: other, outcome });
+            }
+        }
+    }
+
+    fn share(&mut self, id: RequestId, events: &mut VecDeque<Event>, out: &mut Vec<Command>) {
+        let key = self.requests.get(&id).and_then(|h| h.key.clone());
+        let progress = match key.and_then(|k| self.keys.get_mut(&k)) {
+            Some(entry) => {
+                if matches!(entry.progress, Progress::Open) {
+                    entry.waiting.push(id);
+                    return;
+                }
+                entry.progress.clone()
+            }
+            None => Progress::Failed,
+        };
+        let (answer, outcome) = match progress {
+            Progress::Served(Some(result)) => (Answer::Served(result), Outcome::Ok),
+            _ => (Answer::Failed, Outcome::Error),
+        };
+        self.answer(id, answer, out);
+        self.remove(id);
+        events.push_back(Event::RunEnded { id, outcome });
+    }
+
+    /// Carries out what the controller asks: on the table of requests, or as a command.
+    fn carry_out(&mut self, now: f64, events: &mut VecDeque<Event>, out: &mut Vec<Command>) {
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Start(id) => {
+                    let Some(held) = self.requests.get_mut(&id) else { continue };
+                    held.started = true;
+                    let body = std::mem::take(&mut held.request.body);
+                    let (name, class) = (held.request.name.clone(), held.request.class);
+                    out.push(Command::Run { name, class, body, due: held.due });
+                }
+                Action::Refuse { id, stay_away_s, no_other } => {
+                    self.answer(id, Answer::Refused { stay_away_s, no_other }, out);
+                    self.let_go(id);
+                }
+                Action::Fail(id) => {
+                    let near = self.requests.get(&id).is_some_and(|h| now + NEAR_DUE_S >= h.due);
+                    self.answer(id, if near { Answer::OutOfTime } else { Answer::Failed }, out);
+                    self.let_go(id);
+                }
+                Action::Remember { id, for_s } => {
+                    if let Some(key) = self.requests.get(&id).and_then(|h| h.key.clone()) {
+                        self.keys.remember(&key, id, now + for_s);
+                    }
+                }
+                // The request may have been answered and let go just before.
+                Action::Forget(id) => {
+                    if let Some(key) = self.requests.get(&id).and_then(|h| h.key.clone()) {
+                        self.keys.forget(&key, id);
+                    }
+                }
+                Action::ShareAnswer(id) => self.share(id, events, out),
+                Action::Call { id, until_s } => {
+                    let Some(held) = self.requests.get_mut(&id) else { continue };
+                    let Some((body, _)) = held.at_call.clone() else { continue };
+                    held.calling = true;
+                    let name = held.request.name.clone();
+                    out.push(Command::Call { name, body, for_s: (until_s - now).max(0.0) });
+                }
+                Action::SkipCall(id) => {
+                    let Some(held) = self.requests.get_mut(&id) else { continue };
+                    if let Some((_, mark)) = held.at_call.take() {
+                        out.push(Command::SkipCall { name: held.request.name.clone(), mark });
+                    }
+                }
+                // No backend of this program can stop a run, and the settings say so to the controller.
+                Action::Halt(_) => {}
+                Action::Health(good) => out.push(Command::Health(good)),
+                Action::Publish(level) => out.push(Command::Publish(level)),
+                Action::CloseIdle(after) => out.push(Command::CloseIdle(after)),
+                Action::WakeIn(after) => out.push(Command::WakeIn(after)),
+                Action::Log(text) => out.push(Command::Log(text)),
+            }
+        }
+        self.actions = actions;
+    }
+
+    /// An answered request that never ran leaves the table, and its key with it; a run goes on to its end.
+    fn let_go(&mut self, id: RequestId) {
+        let Some(held) = self.requests.get(&id).filter(|h| !h.started) else { return };
+        if let Some(key) = held.key.clone() {
+            self.keys.forget(&key, id);
+            if let Some(entry) = self.keys.get_mut(&key) {
+                entry.waiting.retain(|w| *w != id);
+            }
+        }
+        self.remove(id);
+    }
+
+    /// Guards the run slots: a command lost with a broken link is never sent twice, so its run may never end.
+    fn drop_silent_runs(&mut self, now: f64, out: &mut Vec<Command>) {
+        let silent = |h: &Held| h.started && now > h.due + SILENT_RUN_S;
+        let mut gone: Vec<RequestId> =
+            self.requests.iter().filter(|(_, h)| silent(h)).map(|(id, _)| *id).collect();
+        gone.sort_unstable();
+        let mut events = VecDeque::new();
+        for id in gone {
+            self.run_ended(id, Outcome::Stopped, None, &mut events, out);
+        }
+        while let Some(event) = events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.controller.handle(now, event, &mut actions);
+            self.actions = actions;
+            self.carry_out(now, &mut events, out);
+        }
+    }
+
+    /// When a request in hand reached the machine; for tests and logs.
+    pub fn arrival_of(&self, name: &str) -> Option<f64> {
+        self.names.get(name).and_then(|id| self.requests.get(id)).map(|h| h.arrived)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,7 +41,10 @@
 //! that hosts many controllers behind a line protocol.
 
 pub mod brain;
+pub mod config;
+pub mod core;
 pub mod interface;
+pub mod net;
 pub mod wire;
 
 pub use brain::Controller;
--- /dev/null
+++ b/src/net/executor.rs
@@ -0,0 +1,330 @@
+//! The link to the executor: one JSON object a line, notices numbered, taken up again where it broke.
+//!
+//! A command that has been given to the system is never sent twice: the executor may have carried it out.
+//! Commands of which no byte has gone follow on the next link.
+
+use super::buffer::{Filled, Link};
+use super::fields::Catalogue;
+use super::poll::{Place, Poll};
+use super::Log;
+use crate::config::read_gauges;
+use crate::core::Input;
+use crate::interface::{Gauges, Outcome};
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// The longest line that is taken: a result of 4 KiB in base64 leaves much room.
+const LINE_MOST: usize = 64 * 1024;
+/// Commands that wait for the executor to read or to come back (bytes). A held request is smaller.
+const QUEUE_MOST: usize = 4 * 1024 * 1024;
+/// First and longest wait before a new link is tried (seconds).
+const RELINK_S: (f64, f64) = (0.02, 0.5);
+/// Gauges older than this say nothing any more (seconds).
+const GAUGES_KEEP_S: f64 = 0.5;
+/// An executor whose start lies this much after the one known is another one (seconds).
+const RESTARTED_S: f64 = 2.0;
+
+#[derive(Serialize)]
+#[serde(tag = "type", rename_all = "UPPERCASE")]
+enum Order<'a> {
+    Join { n: u64 },
+    Exec { job: &'a str, kind: &'a str, data: &'a str },
+    Return { job: &'a str, data: &'a str },
+    Bypass { job: &'a str, n: u64 },
+    Meter { r#ref: &'a str },
+}
+
+#[derive(Deserialize)]
+struct Notice<'a> {
+    #[serde(borrow, rename = "type")]
+    kind: Cow<'a, str>,
+    n: Option<u64>,
+    #[serde(borrow)]
+    job: Option<Cow<'a, str>>,
+    #[serde(borrow)]
+    state: Option<Cow<'a, str>>,
+    took: Option<f64>,
+    #[serde(borrow)]
+    data: Option<Cow<'a, str>>,
+    gauges: Option<Vec<f64>>,
+}
+
+/// What the executor says of its own start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Welcome {
+    pub cold: bool,
+    /// When it started, on the loop's clock.
+    pub started: f64,
+}
+
+/// The executor as this worker sees it.
+pub struct Executor {
+    address: SocketAddr,
+    poll: Poll,
+    link: Option<Link>,
+    number: u64,
+    joined: bool,
+    /// Commands for the next link.
+    waiting: Vec<Vec<u8>>,
+    waiting_bytes: usize,
+    last: u64,
+    welcome: Option<Welcome>,
+    gauge_names: Vec<String>,
+    gauges: Option<(f64, Gauges)>,
+    pause_s: f64,
+    relink_at: Option<f64>,
+}
+
+impl Executor {
+    pub fn new(poll: &Poll, address: SocketAddr, gauge_names: Vec<String>) -> Executor {
+        Executor {
+            address,
+            poll: poll.clone(),
+            link: None,
+            number: 0,
+            joined: false,
+            waiting: Vec::new(),
+            waiting_bytes: 0,
+            last: 0,
+            welcome: None,
+            gauge_names,
+            gauges: None,
+            pause_s: RELINK_S.0,
+            relink_at: Some(0.0),
+        }
+    }
+
+    /// The executor's word on its start, once it is up.
+    pub fn welcome(&self) -> Option<Welcome> {
+        self.welcome
+    }
+
+    /// The gauges, unless they are stale.
+    pub fn gauges(&self, now: f64) -> Gauges {
+        self.gauges.filter(|(at, _)| now - at < GAUGES_KEEP_S).map_or(Gauges::default(), |(_, g)| g)
+    }
+
+    /// How long until a link should be tried; `None` while there is one.
+    pub fn relink_in(&self, now: f64) -> Option<f64> {
+        self.relink_at.map(|at| (at - now).max(0.0))
+    }
+
+    pub fn mark(&mut self, number: u64, readable: bool, writable: bool) {
+        if let Some(link) = self.link.as_mut().filter(|_| self.number == number) {
+            link.mark(readable, writable);
+        }
+    }
+
+    fn lose(&mut self, now: f64, why: &str, log: &mut Log) {
+        if let Some(mut link) = self.link.take() {
+            log.line(&format!("executor: link lost: {why}"));
+            // The JOIN, and questions for the gauges, mean nothing to the next link.
+            if self.joined {
+                self.waiting = link.unsent().into_iter().filter(|c| !c.starts_with(METER_START)).collect();
+                self.waiting_bytes = self.waiting.iter().map(Vec::len).sum();
+            }
+        }
+        self.joined = false;
+        self.relink_at = Some(now + self.pause_s);
+        self.pause_s = (self.pause_s * 2.0).min(RELINK_S.1);
+    }
+
+    /// Links up when it is time, and takes what the executor has said.
+    pub fn gather(&mut self, now: f64, inputs: &mut Vec<Input>, log: &mut Log) {
+        if self.link.is_none() && self.relink_at.is_some_and(|at| now >= at) {
+            self.number = self.poll.fresh();
+            match Link::connect(&self.poll, self.address, Place::Executor(self.number), LINE_MOST) {
+                Ok(link) => (self.link, self.relink_at) = (Some(link), None),
+                Err(e) => self.lose(now, &e.to_string(), log),
+            }
+        }
+        let Some(link) = &mut self.link else { return };
+        if !self.joined {
+            match link.connected() {
+                None => return,
+                Some(Err(e)) => return self.lose(now, &e.to_string(), log),
+                Some(Ok(())) => {}
+            }
+            self.joined = true;
+            link.push(line(&Order::Join { n: self.last }));
+            self.waiting.drain(..).for_each(|command| link.push(command));
+            self.waiting_bytes = 0;
+        }
+        loop {
+            let Some(link) = &mut self.link else { return };
+            let filled = link.fill();
+            let mut taken = 0;
+            let mut bad = None;
+            let data = link.data();
+            let mut notices = Vec::new();
+            while let Some(end) = data[taken..].iter().position(|b| *b == b'\n') {
+                match serde_json::from_slice::<Notice>(&data[taken..taken + end]) {
+                    Ok(notice) => notices.push(notice),
+                    Err(e) => bad = Some(format!("executor: a line is no notice: {e}")),
+                }
+                taken += end + 1;
+            }
+            let full = taken == 0 && data.len() >= LINE_MOST;
+            let news: Vec<News> = notices.into_iter().map(News::from).collect();
+            link.consume(taken);
+            if let Some(bad) = bad {
+                log.line(&bad);
+            }
+            for notice in news {
+                self.take(now, notice, inputs, log);
+            }
+            if full {
+                return self.lose(now, "a line has no end", log);
+            }
+            match filled {
+                Filled::Open if taken == 0 => return,
+                Filled::Open => {}
+                Filled::Ended => return self.lose(now, "closed", log),
+                Filled::Broken => return self.lose(now, "broken", log),
+            }
+        }
+    }
+
+    fn take(&mut self, now: f64, news: News, inputs: &mut Vec<Input>, log: &mut Log) {
+        // A new link begins after the last notice read; what comes again all the same was dealt with.
+        if let Some(n) = news.n {
+            if n <= self.last {
+                return;
+            }
+            self.last = n;
+        }
+        let state = news.state.as_deref().unwrap_or("");
+        match (news.kind.as_str(), news.job) {
+            ("WELCOME", _) => {
+                self.pause_s = RELINK_S.0;
+                let started = now - news.took.filter(|t| t.is_finite()).unwrap_or(0.0) / 1000.0;
+                let known = self.welcome.map(|w| w.started);
+                if known.is_some_and(|at| started > at + RESTARTED_S) {
+                    log.line("executor: it has been started anew; its runs are lost");
+                    inputs.push(Input::RunsLost);
+                }
+                if known.is_none_or(|at| started > at + RESTARTED_S) {
+                    self.welcome = Some(Welcome { cold: state == "EMPTY", started });
+                }
+            }
+            ("EXIT", Some(name)) => {
+                let result = news.data.as_deref().map(|d| STANDARD.decode(d));
+                let (outcome, result) = match (state, result) {
+                    ("PASS", Some(Ok(result))) => (Outcome::Ok, Some(Rc::from(result))),
+                    // Without a result there is nothing to serve.
+                    ("PASS", None) => (Outcome::Ok, Some(Rc::from([]))),
+                    ("KILLED", _) => (Outcome::Stopped, None),
+                    ("NOOP", _) => (Outcome::TooLate, None),
+                    ("FAIL", _) => (Outcome::Error, None),
+                    _ => {
+                        log.line("executor: an EXIT can't be read");
+                        (Outcome::Error, None)
+                    }
+                };
+                inputs.push(Input::RunEnded { name, outcome, result });
+            }
+            ("CALLOUT", Some(name)) => {
+                let body = news.data.as_deref().map_or(Ok(Vec::new()), |d| STANDARD.decode(d));
+                match body {
+                    Ok(body) => {
+                        inputs.push(Input::AtCall { name, body: body.into(), mark: news.n.unwrap_or(0) })
+                    }
+                    Err(_) => log.line("executor: a CALLOUT can't be read"),
+                }
+            }
+            ("METERS", _) => {
+                if let Some(values) = news.gauges {
+                    self.gauges = Some((now, read_gauges(&self.gauge_names, &values)));
+                }
+            }
+            // A command that was not carried out ends the run: it would wait for nothing.
+            ("BAD", Some(name)) => {
+                log.line(&format!("executor: {state} was not carried out"));
+                inputs.push(Input::RunEnded { name, outcome: Outcome::Error, result: None });
+            }
+            ("BAD", None) => log.line(&format!("executor: {state} was not carried out")),
+            ("LOG" | "DIAGNOSED", _) => {}
+            _ => log.line("executor: a notice of an unknown kind"),
+        }
+    }
+
+    fn send(&mut self, command: Vec<u8>) -> bool {
+        match &mut self.link {
+            Some(link) if self.joined && link.queued() < QUEUE_MOST => link.push(command),
+            None if self.waiting_bytes < QUEUE_MOST => self.wait(command),
+            Some(_) if !self.joined && self.waiting_bytes < QUEUE_MOST => self.wait(command),
+            _ => return false,
+        }
+        true
+    }
+
+    fn wait(&mut self, command: Vec<u8>) {
+        self.waiting_bytes += command.len();
+        self.waiting.push(command);
+    }
+
+    /// Starts a run; `false` where it could not even be queued, so that nothing has run.
+    pub fn run(&mut self, name: &str, class: usize, body: &[u8], known: &Catalogue) -> bool {
+        let data = STANDARD.encode(body);
+        self.send(line(&Order::Exec { job: name, kind: known.class_name(class), data: &data }))
+    }
+
+    pub fn resume(&mut self, name: &str, reply: &[u8]) -> bool {
+        self.send(line(&Order::Return { job: name, data: &STANDARD.encode(reply) }))
+    }
+
+    pub fn skip(&mut self, name: &str, mark: u64) -> bool {
+        self.send(line(&Order::Bypass { job: name, n: mark }))
+    }
+
+    /// Asks for the gauges, unless commands wait: then the executor is not reading.
+    pub fn ask_gauges(&mut self) {
+        if let Some(link) = self.link.as_mut().filter(|l| self.joined && l.queued() == 0) {
+            link.push(line(&Order::Meter { r#ref: "g" }));
+        }
+    }
+
+    pub fn flush(&mut self, now: f64, log: &mut Log) {
+        if let Some(Err(e)) = self.link.as_mut().map(Link::flush) {
+            self.lose(now, &e.to_string(), log);
+        }
+    }
+}
+
+const METER_START: &[u8] = br#"{"type":"METER""#;
+
+fn line(order: &Order) -> Vec<u8> {
+    // These types hold nothing that JSON can't.
+    let mut text = serde_json::to_vec(order).unwrap_or_default();
+    text.push(b'\n');
+    text
+}
+
+/// A notice freed from the buffer that it lay in.
+struct News {
+    kind: String,
+    n: Option<u64>,
+    job: Option<Rc<str>>,
+    state: Option<String>,
+    took: Option<f64>,
+    data: Option<String>,
+    gauges: Option<Vec<f64>>,
+}
+
+impl From<Notice<'_>> for News {
+    fn from(n: Notice) -> News {
+        News {
+            kind: n.kind.into_owned(),
+            n: n.n,
+            job: n.job.map(|j| j.into()),
+            state: n.state.map(Cow::into_owned),
+            took: n.took,
+            data: n.data.map(Cow::into_owned),
+            gauges: n.gauges,
+        }
+    }
+}
--- /dev/null
+++ b/src/net/fields.rs
@@ -0,0 +1,159 @@
+//! The platform's fields of a request, the same on every front: collected from headers, checked, and made into
+//! what the core takes.
+
+use super::Clock;
+use crate::config::Options;
+use crate::core::{Request, Ticket};
+use crate::interface::{Class, Effect, Settings};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// The memory booked for a held request that states none (KB).
+pub const DEFAULT_NEED_KB: f64 = 32.0;
+
+/// The largest request body (bytes).
+pub const BODY_MOST: usize = 2048;
+
+/// The classes and tenants of the settings by name, for all fronts.
+pub struct Catalogue {
+    classes: HashMap<String, usize>,
+    tenants: HashMap<String, usize>,
+    kinds: Vec<Class>,
+    names: Vec<Rc<str>>,
+}
+
+impl Catalogue {
+    pub fn new(options: &Options, settings: &Settings) -> Catalogue {
+        let numbered =
+            |names: Vec<&String>| names.into_iter().enumerate().map(|(i, n)| (n.clone(), i)).collect();
+        Catalogue {
+            classes: numbered(options.profiles.iter().map(|p| &p.name).collect()),
+            tenants: numbered(options.tenants.iter().map(|t| &t.name).collect()),
+            kinds: settings.classes.clone(),
+            names: options.profiles.iter().map(|p| p.name.as_str().into()).collect(),
+        }
+    }
+
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.get(name).copied()
+    }
+
+    pub fn class_name(&self, class: usize) -> &str {
+        self.names.get(class).map_or("", |n| n)
+    }
+
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        self.tenants.get(name).copied()
+    }
+}
+
+/// The fields, as they stood in the head.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Fields {
+    pub id: Option<Rc<str>>,
+    pub org: Option<Rc<str>>,
+    pub key: Option<Rc<str>>,
+    arrived_ms: Option<f64>,
+    deadline_ms: Option<f64>,
+    estimate_ms: Option<f64>,
+    need_kb: Option<f64>,
+    caller: Option<u64>,
+    resent: Option<bool>,
+}
+
+/// Why a request can't be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A field is malformed, missing, or stands there twice.
+    Field(&'static str),
+    UnknownTenant,
+}
+
+impl Fields {
+    /// Notes a header if it is one of the platform's.
+    pub fn note(&mut self, name: &str, value: &[u8]) -> Result<(), Fault> {
+        let is = |known: &str| name.eq_ignore_ascii_case(known);
+        let text = || std::str::from_utf8(value).map(str::trim).unwrap_or("");
+        if is("X-Correlation-Id") {
+            let id = text();
+            let hex = id.len() == 16 && id.bytes().all(|b| b.is_ascii_hexdigit());
+            set(&mut self.id, hex.then(|| id.into()), "X-Correlation-Id")
+        } else if is("X-Org") {
+            set(&mut self.org, Some(text()).filter(|t| !t.is_empty()).map(Rc::from), "X-Org")
+        } else if is("X-Operation-Key") {
+            let plain = |t: &&str| (1..=128).contains(&t.len()) && t.bytes().all(|b| b.is_ascii_graphic());
+            set(&mut self.key, Some(text()).filter(plain).map(Rc::from), "X-Operation-Key")
+        } else if is("X-Arrived-Ms") {
+            set(&mut self.arrived_ms, number(text(), 0.0, 1e14), "X-Arrived-Ms")
+        } else if is("X-Deadline-Ms") {
+            set(&mut self.deadline_ms, number(text(), 0.0, 1e9), "X-Deadline-Ms")
+        } else if is("X-Estimate-Ms") {
+            set(&mut self.estimate_ms, number(text(), 0.0, 1e9), "X-Estimate-Ms")
+        } else if is("X-Need-Kb") {
+            let need = number(text(), 0.0, 2000.0).filter(|n| *n > 0.0 && *n < 2000.0);
+            set(&mut self.need_kb, need, "X-Need-Kb")
+        } else if is("X-Upstream-Peer") {
+            set(&mut self.caller, text().parse().ok(), "X-Upstream-Peer")
+        } else if is("X-Resent") {
+            set(&mut self.resent, Some(text() == "1"), "X-Resent")
+        } else {
+            Ok(())
+        }
+    }
+
+    /// Makes the request for the core. `tenant` is the one that the front found; else the field's counts.
+    pub fn request(
+        self,
+        ticket: Ticket,
+        class: usize,
+        tenant: Option<usize>,
+        body: &[u8],
+        known: &Catalogue,
+        clock: &Clock,
+    ) -> Result<Request, Fault> {
+        let tenant = match (tenant, &self.org) {
+            (Some(t), _) => Some(t),
+            (None, Some(_)) if known.tenants.is_empty() => None,
+            (None, Some(org)) => Some(known.tenant(org).ok_or(Fault::UnknownTenant)?),
+            (None, None) if known.tenants.is_empty() => None,
+            (None, None) => return Err(Fault::Field("X-Org")),
+        };
+        let kind = &known.kinds[class];
+        // Without its key nothing could keep a keyed request from running twice.
+        let key = self.key.filter(|_| kind.effect == Effect::Keyed);
+        if kind.effect == Effect::Keyed && key.is_none() {
+            return Err(Fault::Field("X-Operation-Key"));
+        }
+        // The time that it lay unread is part of what its caller waits.
+        let unread_s = self.arrived_ms.map_or(0.0, |at| ((clock.unix_ms() - at) / 1000.0).max(0.0));
+        let waits_s = self.deadline_ms.map_or(kind.deadline_s, |ms| ms / 1000.0);
+        Ok(Request {
+            ticket,
+            name: self.id.ok_or(Fault::Field("X-Correlation-Id"))?,
+            class,
+            tenant,
+            caller: self.caller.unwrap_or(0),
+            kb: self.need_kb.unwrap_or(DEFAULT_NEED_KB),
+            unread_s,
+            patience_s: waits_s - unread_s,
+            size_s: self.estimate_ms.map(|ms| ms / 1000.0).filter(|s| *s > 0.0),
+            key,
+            retry: self.resent.unwrap_or(false),
+            body: body.into(),
+        })
+    }
+}
+
+/// A field that is malformed or stands there twice could be read two ways.
+fn set<T>(field: &mut Option<T>, value: Option<T>, name: &'static str) -> Result<(), Fault> {
+    if field.is_some() || value.is_none() {
+        return Err(Fault::Field(name));
+    }
+    *field = value;
+    Ok(())
+}
+
+fn number(text: &str, least: f64, most: f64) -> Option<f64> {
+    let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    text.parse().ok().filter(|n: &f64| plain && n.is_finite() && *n >= least && *n <= most)
+}
--- /dev/null
+++ b/src/net/http_front.rs
@@ -0,0 +1,387 @@
+//! The platform's front: HTTP/1.1, one request at a time on a connection, and health checks.
+
+use super::buffer::{Filled, Link};
+use super::fields::{Catalogue, Fault, Fields, BODY_MOST};
+use super::poll::{Accepted, Acceptor, Place, Poll};
+use super::{Clock, State};
+use crate::core::{Answer, Input, Request, Ticket};
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// The longest head (bytes) and the most headers in one.
+const HEAD_MOST: usize = 8 * 1024;
+const HEADERS_MOST: usize = 64;
+/// One whole request is all that is ever kept unread in memory.
+const INPUT_MOST: usize = HEAD_MOST + BODY_MOST;
+/// How long a request may take to come in whole, an answer to be taken, and a peer to see a close (seconds).
+const SLOW_REQUEST_S: f64 = 10.0;
+const SLOW_ANSWER_S: f64 = 10.0;
+const LINGER_S: f64 = 1.0;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Nothing has come of the next request.
+    Idle,
+    /// A part of a request has come.
+    Reading,
+    /// The core owes the answer.
+    Asked,
+    /// The answer is being written.
+    Answering,
+    /// All is said: what still comes is thrown away until the peer closes.
+    Closing,
+}
+
+struct Connection {
+    link: Link,
+    stage: Stage,
+    /// When the stage began.
+    since: f64,
+    /// The peer, or a fault, wants the connection closed after this answer.
+    close: bool,
+    continued: bool,
+}
+
+/// The listener and its connections.
+pub struct HttpFront {
+    acceptor: Option<Acceptor>,
+    poll: Poll,
+    connections: HashMap<u64, Connection>,
+    touched: Vec<u64>,
+}
+
+/// A request whose body is here too, or what is wrong with it.
+enum Parsed {
+    Partial { wants_continue: bool },
+    Whole { request: Box<Request>, length: usize, keep: bool },
+    Check { length: usize, keep: bool },
+    Bad(Fail),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Fail {
+    code: u16,
+    why: &'static str,
+    /// Goes with a 405.
+    allow: &'static str,
+}
+
+fn fail(code: u16, why: &'static str) -> Parsed {
+    Parsed::Bad(Fail { code, why, allow: "" })
+}
+
+impl HttpFront {
+    pub fn bind(poll: &Poll, address: SocketAddr) -> io::Result<HttpFront> {
+        let acceptor = Some(Acceptor::bind(poll, address, Place::HttpListener)?);
+        Ok(HttpFront { acceptor, poll: poll.clone(), connections: HashMap::new(), touched: Vec::new() })
+    }
+
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.acceptor.as_ref().and_then(|a| a.address().ok())
+    }
+
+    pub fn mark_listener(&mut self) {
+        if let Some(a) = &mut self.acceptor {
+            a.mark();
+        }
+    }
+
+    pub fn mark(&mut self, id: u64, readable: bool, writable: bool) {
+        if let Some(c) = self.connections.get_mut(&id) {
+            c.link.mark(readable, writable);
+            self.touched.push(id);
+        }
+    }
+
+    pub fn stop_listening(&mut self) {
+        self.acceptor = None;
+    }
+
+    /// Whether all that was asked has been answered and written out.
+    pub fn quiet(&self) -> bool {
+        self.connections.values().all(|c| matches!(c.stage, Stage::Idle | Stage::Closing))
+    }
+
+    /// Accepts and reads; `true` if accepting had to be broken off and wants another look.
+    pub fn gather(&mut self, clock: &Clock, state: &State, inputs: &mut Vec<Input>) -> bool {
+        let paused = self.accept(clock.now());
+        let mut touched = std::mem::take(&mut self.touched);
+        touched.sort_unstable();
+        touched.dedup();
+        for id in touched {
+            self.look(id, clock, state, inputs);
+        }
+        paused
+    }
+
+    fn accept(&mut self, now: f64) -> bool {
+        for taken in 0.. {
+            let Some(acceptor) = &mut self.acceptor else { return false };
+            let stream = match acceptor.accept(taken) {
+                Accepted::Stream(stream) => stream,
+                Accepted::Nobody => return false,
+                Accepted::Pause => {
+                    self.close_longest_idle();
+                    return true;
+                }
+            };
+            let id = self.poll.fresh();
+            if stream.set_nonblocking(true).is_err() {
+                continue;
+            }
+            if let Ok(link) = Link::new(&self.poll, stream, Place::Http(id), INPUT_MOST) {
+                let connection =
+                    Connection { link, stage: Stage::Idle, since: now, close: false, continued: false };
+                self.connections.insert(id, connection);
+                self.touched.push(id);
+            }
+        }
+        false
+    }
+
+    /// Makes room for a caller that waits: an idle connection may be closed at any time.
+    fn close_longest_idle(&mut self) {
+        let idle = self.connections.iter().filter(|(_, c)| c.stage == Stage::Idle);
+        if let Some(id) = idle.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(id, _)| *id) {
+            self.connections.remove(&id);
+        }
+    }
+
+    fn look(&mut self, id: u64, clock: &Clock, state: &State, inputs: &mut Vec<Input>) {
+        let Some(c) = self.connections.get_mut(&id) else { return };
+        let now = clock.now();
+        let step = |c: &mut Connection, stage: Stage| (c.stage, c.since) = (stage, now);
+        loop {
+            if c.link.flush().is_err() {
+                self.connections.remove(&id);
+                return;
+            }
+            match c.stage {
+                // One request at a time: what comes meanwhile waits in the buffer, then with the system.
+                Stage::Asked => return,
+                Stage::Answering if c.link.queued() > 0 => return,
+                Stage::Answering if c.close => {
+                    c.link.end_writing();
+                    step(c, Stage::Closing);
+                }
+                Stage::Answering => step(c, Stage::Idle),
+                Stage::Closing => {
+                    let filled = c.link.fill();
+                    let n = c.link.data().len();
+                    c.link.consume(n);
+                    if filled != Filled::Open {
+                        self.connections.remove(&id);
+                        return;
+                    }
+                    if n == 0 {
+                        return;
+                    }
+                }
+                Stage::Idle | Stage::Reading => {
+                    let filled = c.link.fill();
+                    if c.link.data().is_empty() {
+                        if filled != Filled::Open {
+                            self.connections.remove(&id);
+                        }
+                        return;
+                    }
+                    if c.stage == Stage::Idle {
+                        step(c, Stage::Reading);
+                    }
+                    match parse(c.link.data(), Ticket(id), &state.known, clock) {
+                        Parsed::Partial { wants_continue } => {
+                            // A request that will never be whole is none; the peer may have closed mid-body.
+                            if filled != Filled::Open {
+                                self.connections.remove(&id);
+                                return;
+                            }
+                            if !wants_continue || c.continued {
+                                return;
+                            }
+                            c.continued = true;
+                            c.link.push(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec());
+                        }
+                        Parsed::Check { length, keep } => {
+                            c.link.consume(length);
+                            c.close = !keep || state.leaving;
+                            let answer = if state.fit && !state.leaving {
+                                simple(200, "OK", "good\n", "", state, c.close)
+                            } else {
+                                simple(503, "Service Unavailable", "bad\n", "", state, c.close)
+                            };
+                            c.link.push(answer);
+                            step(c, Stage::Answering);
+                        }
+                        Parsed::Whole { request, length, keep } => {
+                            c.link.consume(length);
+                            (c.close, c.continued) = (!keep, false);
+                            step(c, Stage::Asked);
+                            inputs.push(Input::Arrived(*request));
+                            return;
+                        }
+                        Parsed::Bad(fail) => {
+                            c.close = true;
+                            let allow = if fail.allow.is_empty() {
+                                String::new()
+                            } else {
+                                format!("Allow: {}\r\n", fail.allow)
+                            };
+                            let text = format!("{}\n", fail.why);
+                            c.link.push(simple(fail.code, reason(fail.code), &text, &allow, state, true));
+                            step(c, Stage::Answering);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Writes an answer of the core.
+    pub fn answer(&mut self, now: f64, ticket: Ticket, answer: Answer, state: &State) {
+        let Some(c) = self.connections.get_mut(&ticket.0).filter(|c| c.stage == Stage::Asked) else { return };
+        c.close |= state.leaving;
+        (c.stage, c.since) = (Stage::Answering, now);
+        match answer {
+            Answer::Served(result) => {
+                c.link.push(head(200, "OK", result.len(), "", state, c.close));
+                c.link.push_shared(result);
+            }
+            Answer::Refused { stay_away_s, no_other } => {
+                let mut extra = String::new();
+                if stay_away_s > 0.0 {
+                    let _ = write!(extra, "X-Pushback-Ms: {}\r\n", (stay_away_s * 1000.0).ceil());
+                }
+                if no_other {
+                    extra.push_str("X-Stop-Trying: 1\r\n");
+                }
+                c.link.push(simple(503, reason(503), "", &extra, state, c.close));
+            }
+            Answer::Failed => c.link.push(simple(500, reason(500), "", "", state, c.close)),
+            Answer::OutOfTime => c.link.push(simple(504, reason(504), "", "", state, c.close)),
+        }
+        self.touched.push(ticket.0);
+    }
+
+    /// Whether a connection has news that the loop has not told of.
+    pub fn pending(&self) -> bool {
+        !self.touched.is_empty()
+    }
+
+    /// Closes what has been idle for long, and peers that are too slow to send or to read.
+    pub fn sweep(&mut self, now: f64, idle_s: f64, leaving: bool) {
+        self.connections.retain(|_, c| {
+            let lasts = now - c.since;
+            match c.stage {
+                Stage::Idle => lasts < idle_s && !leaving,
+                Stage::Reading => lasts < SLOW_REQUEST_S,
+                Stage::Asked => true,
+                Stage::Answering => lasts < SLOW_ANSWER_S,
+                Stage::Closing => lasts < LINGER_S,
+            }
+        });
+    }
+}
+
+fn reason(code: u16) -> &'static str {
+    match code {
+        400 => "Bad Request",
+        403 => "Forbidden",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        504 => "Gateway Timeout",
+        _ => "Service Unavailable",
+    }
+}
+
+fn head(code: u16, reason: &str, length: usize, extra: &str, state: &State, close: bool) -> Vec<u8> {
+    let mut text = String::with_capacity(160);
+    let _ = write!(text, "HTTP/1.1 {code} {reason}\r\nContent-Length: {length}\r\n{extra}");
+    if let Some(level) = state.level {
+        let _ = write!(text, "X-Backend-Says: {level}\r\n");
+    }
+    text.push_str(if close { "Connection: close\r\n\r\n" } else { "\r\n" });
+    text.into_bytes()
+}
+
+fn simple(code: u16, reason: &str, body: &str, extra: &str, state: &State, close: bool) -> Vec<u8> {
+    let mut text = head(code, reason, body.len(), extra, state, close);
+    text.extend_from_slice(body.as_bytes());
+    text
+}
+
+/// Reads a request where it lies in the buffer.
+fn parse(data: &[u8], ticket: Ticket, known: &Rc<Catalogue>, clock: &Clock) -> Parsed {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+    let mut head = httparse::Request::new(&mut headers);
+    let start = match head.parse(data) {
+        Ok(httparse::Status::Complete(n)) if n <= HEAD_MOST => n,
+        Ok(httparse::Status::Partial) if data.len() <= HEAD_MOST => {
+            return Parsed::Partial { wants_continue: false }
+        }
+        Ok(_) => return fail(431, "the head is too long"),
+        Err(httparse::Error::TooManyHeaders) => return fail(431, "too many headers"),
+        Err(_) => return fail(400, "the head can't be read"),
+    };
+    let (mut length, mut keep, mut wants_continue) = (None, head.version == Some(1), false);
+    let mut fields = Fields::default();
+    for h in head.headers.iter() {
+        let value = std::str::from_utf8(h.value).unwrap_or("").trim();
+        if h.name.eq_ignore_ascii_case("Content-Length") {
+            let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+            // Two lengths, even equal ones, may be read differently by whoever stands in between.
+            match value.parse::<usize>() {
+                Ok(n) if digits && length.is_none() => length = Some(n),
+                Err(_) if digits && length.is_none() => return fail(413, "the body is too long"),
+                _ => return fail(400, "Content-Length is ambiguous"),
+            }
+        } else if h.name.eq_ignore_ascii_case("Transfer-Encoding") {
+            return fail(400, "Transfer-Encoding is not taken");
+        } else if h.name.eq_ignore_ascii_case("Connection") {
+            for word in value.split(',').map(str::trim) {
+                if word.eq_ignore_ascii_case("close") {
+                    keep = false;
+                } else if word.eq_ignore_ascii_case("keep-alive") && head.version == Some(0) {
+                    keep = true;
+                }
+            }
+        } else if h.name.eq_ignore_ascii_case("Expect") {
+            wants_continue = value.eq_ignore_ascii_case("100-continue");
+        } else if let Err(Fault::Field(name)) = fields.note(h.name, h.value) {
+            return fail(400, name);
+        }
+    }
+    let length = length.unwrap_or(0);
+    let path = head.path.unwrap_or("");
+    let (path, _) = path.split_once('?').unwrap_or((path, ""));
+    let method = head.method.unwrap_or("");
+    if length > BODY_MOST {
+        return fail(413, "the body is too long");
+    }
+    let class = if path == "/check" {
+        if method != "GET" {
+            return Parsed::Bad(Fail { code: 405, why: "checks are asked for with GET", allow: "GET" });
+        }
+        None
+    } else {
+        let class = path.strip_prefix("/do/").and_then(|name| known.class(name));
+        let Some(class) = class else { return fail(404, "no such class") };
+        if method != "POST" {
+            return Parsed::Bad(Fail { code: 405, why: "requests are sent with POST", allow: "POST" });
+        }
+        Some(class)
+    };
+    let Some(body) = data.get(start..start + length) else { return Parsed::Partial { wants_continue } };
+    let length = start + length;
+    let Some(class) = class else { return Parsed::Check { length, keep } };
+    match fields.request(ticket, class, None, body, known, clock) {
+        Ok(request) => Parsed::Whole { request: Box::new(request), length, keep },
+        Err(Fault::UnknownTenant) => fail(403, "unknown tenant"),
+        Err(Fault::Field(name)) => fail(400, name),
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,432 @@
+//! The port worker on real sockets: one thread, one loop. Each turn gathers what is ready, hands it to the core in
+//! one go, and carries out what comes back.
+
+pub mod buffer;
+pub mod executor;
+pub mod fields;
+pub mod http_front;
+pub mod poll;
+pub mod records;
+pub mod registry;
+pub mod wheel;
+
+use crate::config::{Config, RESERVED_SOCKETS};
+use crate::core::{Answer, Command, Core, Input};
+use crate::interface::{Outcome, Settings};
+use calloop::signals::{Signal, Signals};
+use calloop::timer::{TimeoutAction, Timer as LoopTimer};
+use calloop::{EventLoop, RegistrationToken};
+use executor::Executor;
+use fields::Catalogue;
+use http_front::HttpFront;
+use poll::{Gathered, Place, Poll, ACCEPT_PAUSE_S};
+use records::Records;
+use registry::{Registry, BEAT_S};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use wheel::{Timer, Wheel};
+
+/// How often idle and slow connections are looked for (seconds).
+const SWEEP_S: f64 = 0.25;
+/// Rounds of one turn at most: requests that lie behind answered ones, and outcomes of what was just asked.
+const ROUNDS: usize = 8;
+/// After the grace of a drain, how long crossing requests may still come in before the end (seconds), and how
+/// long before the stop the process ends at the latest.
+const CROSSING_S: f64 = 0.15;
+const STOP_MARGIN_S: f64 = 0.05;
+/// Kept results may take one part in so many of the memory limit.
+const RESULT_PART: f64 = 8.0;
+/// What callers are told when the executor is not up yet (seconds).
+const NOT_UP_S: f64 = 1.0;
+/// Log lines a second; what a peer can bring about must not fill a disk.
+const LOG_LINES: u32 = 20;
+
+/// The loop's clock: monotonic seconds since the start. The Unix clock serves to read stamps alone.
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    fn new() -> Clock {
+        Clock { start: Instant::now() }
+    }
+
+    pub fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64()
+    }
+
+    fn instant(&self, at: f64) -> Instant {
+        self.start + Duration::from_secs_f64(at.max(0.0))
+    }
+
+    pub fn unix_ms(&self) -> f64 {
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0)
+    }
+}
+
+/// Lines for on-call staff, on standard error, a bounded number a second.
+#[derive(Default)]
+pub struct Log {
+    second: u64,
+    lines: u32,
+    left_out: u32,
+    now: f64,
+}
+
+impl Log {
+    fn at(&mut self, now: f64) {
+        self.now = now;
+        if now as u64 != self.second {
+            (self.second, self.lines) = (now as u64, 0);
+            if self.left_out > 0 {
+                eprintln!("{now:.3} {} lines left out", std::mem::take(&mut self.left_out));
+            }
+        }
+    }
+
+    pub fn line(&mut self, text: &str) {
+        self.lines += 1;
+        if self.lines <= LOG_LINES {
+            eprintln!("{:.3} {text}", self.now);
+        } else {
+            self.left_out += 1;
+        }
+    }
+}
+
+/// What fronts say of this worker with each answer.
+pub struct State {
+    pub known: Rc<Catalogue>,
+    /// The free value.
+    pub level: Option<f64>,
+    /// What health checks are told.
+    pub fit: bool,
+    pub leaving: bool,
+}
+
+/// The notice to leave, as this loop follows it.
+struct Leaving {
+    notice: f64,
+    stop: f64,
+    closed: Option<f64>,
+}
+
+/// One port worker.
+pub struct Worker {
+    clock: Clock,
+    log: Log,
+    wheel: Wheel,
+    config: Config,
+    settings: Settings,
+    core: Option<Core>,
+    state: State,
+    healthy: bool,
+    idle_s: f64,
+    http: HttpFront,
+    executor: Executor,
+    records: Option<Records>,
+    registry: Option<Registry>,
+    leaving: Option<Leaving>,
+    accept_timer: bool,
+    relink_timer: bool,
+    done: bool,
+}
+
+/// Runs a port worker until it has left.
+pub fn run(config: Config) -> Result<(), String> {
+    let mut events: EventLoop<Gathered> = EventLoop::try_new().map_err(|e| format!("event loop: {e}"))?;
+    let handle = events.handle();
+    // Before anything else: from here on the notice is taken in turn, not by the default death.
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| format!("signals: {e}"))?;
+    handle
+        .insert_source(signals, |_, _, gathered: &mut Gathered| gathered.leave = true)
+        .map_err(|e| format!("signals: {e}"))?;
+    let mut timer_token: Option<RegistrationToken> = None;
+    let poll = Poll::new(handle.clone(), config.limits.sockets - RESERVED_SOCKETS);
+    let mut worker = Worker::new(config, &poll)?;
+    let mut gathered = Gathered::default();
+    let mut armed = None;
+    worker.turn(&mut gathered);
+    while !worker.done {
+        let next = worker.wheel.next();
+        if next != armed {
+            // The one timer of the loop is set anew where the wheel's next tick has moved.
+            if let Some(token) = timer_token.take() {
+                handle.remove(token);
+            }
+            if let Some(at) = next {
+                let source = LoopTimer::from_deadline(worker.clock.instant(at));
+                let token = handle
+                    .insert_source(source, |_, _, _: &mut Gathered| TimeoutAction::Drop)
+                    .map_err(|e| format!("timer: {e}"))?;
+                timer_token = Some(token);
+            }
+            armed = next;
+        }
+        events.dispatch(None, &mut gathered).map_err(|e| format!("event loop: {e}"))?;
+        worker.turn(&mut gathered);
+    }
+    Ok(())
+}
+
+impl Worker {
+    fn new(config: Config, poll: &Poll) -> Result<Worker, String> {
+        let clock = Clock::new();
+        let mut settings = config.settings.settings(config.seed_number());
+        // Kept keys and results lie in this process's own memory: the platform books none for them.
+        settings.entry_kb = 0.0;
+        let known = Rc::new(Catalogue::new(&config.settings, &settings));
+        let http = HttpFront::bind(poll, config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+        let executor = Executor::new(poll, config.executor, config.settings.domain.own_stats.clone());
+        let registry = match config.registry {
+            Some(to) => Some(Registry::new(to, &config.name).map_err(|e| format!("registry {to}: {e}"))?),
+            None => None,
+        };
+        let mut log = Log::default();
+        log.line(&format!("{} listens on {}", config.name, config.listen));
+        let mut wheel = Wheel::new(clock.now());
+        wheel.set(clock.now(), SWEEP_S, Timer::Sweep);
+        Ok(Worker {
+            records: config.records.map(|to| Records::new(poll, to)),
+            idle_s: settings.idle_s.max(1.0),
+            state: State { known, level: None, fit: false, leaving: false },
+            healthy: true,
+            core: None,
+            leaving: None,
+            accept_timer: false,
+            relink_timer: false,
+            done: false,
+            clock,
+            log,
+            wheel,
+            config,
+            settings,
+            http,
+            executor,
+            registry,
+        })
+    }
+
+    /// The address of the platform's front.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.http.address()
+    }
+
+    fn turn(&mut self, gathered: &mut Gathered) {
+        let now = self.clock.now();
+        self.log.at(now);
+        for (place, readable, writable) in gathered.take() {
+            match place {
+                Place::HttpListener => self.http.mark_listener(),
+                Place::Http(id) => self.http.mark(id, readable, writable),
+                Place::Executor(id) => self.executor.mark(id, readable, writable),
+                Place::Records(id) => {
+                    if let Some(r) = &mut self.records {
+                        r.mark(id, readable, writable);
+                    }
+                }
+                _ => {}
+            }
+        }
+        let mut inputs = Vec::new();
+        if std::mem::take(&mut gathered.leave) {
+            self.leave(now, &mut inputs);
+        }
+        let mut due = Vec::new();
+        self.wheel.expire(now, &mut due);
+        due.into_iter().for_each(|timer| self.timer(now, timer, &mut inputs));
+        for round in 0..ROUNDS {
+            self.gather(&mut inputs);
+            let now = self.clock.now();
+            let mut commands = Vec::new();
+            match &mut self.core {
+                Some(core) if !inputs.is_empty() => core.handle(now, inputs.drain(..), &mut commands),
+                Some(_) => {}
+                None => self.turn_away(now, &mut inputs),
+            }
+            for command in commands {
+                self.carry_out(now, command, &mut inputs);
+            }
+            self.flush(now);
+            if !self.http.pending() && inputs.is_empty() {
+                break;
+            }
+            if round + 1 == ROUNDS {
+                self.wheel.set(now, 0.0, Timer::Again);
+            }
+        }
+        self.follow_leaving();
+    }
+
+    /// Takes in all that is ready: outcomes first, which make room for what arrives.
+    fn gather(&mut self, inputs: &mut Vec<Input>) {
+        let now = self.clock.now();
+        self.executor.gather(now, inputs, &mut self.log);
+        if let Some(after) = self.executor.relink_in(now).filter(|_| !self.relink_timer) {
+            self.relink_timer = true;
+            self.wheel.set(now, after, Timer::Relink);
+        }
+        if self.core.is_none() {
+            self.start_core(now);
+        }
+        if let Some(records) = &mut self.records {
+            records.gather(now, inputs, &mut self.wheel, &mut self.log);
+        }
+        let paused = self.http.gather(&self.clock, &self.state, inputs);
+        if paused && !self.accept_timer {
+            self.accept_timer = true;
+            self.wheel.set(now, ACCEPT_PAUSE_S, Timer::Accept);
+        }
+    }
+
+    /// There is no core before the executor is up: what arrives all the same is turned away, as nothing ran.
+    fn turn_away(&mut self, now: f64, inputs: &mut Vec<Input>) {
+        for input in inputs.drain(..) {
+            if let Input::Arrived(request) = input {
+                let answer = Answer::Refused { stay_away_s: NOT_UP_S, no_other: false };
+                self.http.answer(now, request.ticket, answer, &self.state);
+            }
+        }
+    }
+
+    /// The executor is up: the controller starts with it, as warm as the executor says.
+    fn start_core(&mut self, now: f64) {
+        let Some(welcome) = self.executor.welcome() else { return };
+        let mut settings = self.settings.clone();
+        settings.cold |= welcome.cold;
+        self.log.line(&format!(
+            "executor is up, {}, started {:.3} s ago",
+            if settings.cold { "cold" } else { "warm" },
+            now - welcome.started
+        ));
+        let room = self.config.limits.memory_mb * 1024.0 * 1024.0 / RESULT_PART;
+        let mut commands = Vec::new();
+        let mut core = Core::new(settings, welcome.started, room as usize, &mut commands);
+        if let Some(leaving) = &self.leaving {
+            let in_s = leaving.stop - now;
+            core.handle(now, [Input::Leave { in_s }], &mut commands);
+        }
+        self.core = Some(core);
+        for command in commands {
+            self.carry_out(now, command, &mut Vec::new());
+        }
+        self.state.fit = self.healthy;
+        self.wheel.set(now, 0.0, Timer::Beat);
+        self.executor.ask_gauges();
+    }
+
+    fn timer(&mut self, now: f64, timer: Timer, inputs: &mut Vec<Input>) {
+        match timer {
+            Timer::Wake => {
+                inputs.push(Input::Woken(self.executor.gauges(now)));
+                self.executor.ask_gauges();
+            }
+            Timer::Call(number) => {
+                if let Some(r) = &mut self.records {
+                    r.due(number, inputs);
+                }
+            }
+            Timer::Beat => {
+                self.beat(true);
+                self.wheel.set(now, BEAT_S, Timer::Beat);
+            }
+            Timer::Sweep => {
+                let closing = self.leaving.as_ref().is_some_and(|l| l.closed.is_some());
+                self.http.sweep(now, self.idle_s, closing);
+                if let Some(r) = &mut self.records {
+                    r.sweep(now);
+                }
+                self.wheel.set(now, SWEEP_S, Timer::Sweep);
+            }
+            Timer::Relink => self.relink_timer = false,
+            Timer::Accept => self.accept_timer = false,
+            _ => {}
+        }
+    }
+
+    /// Reports to the registry once the executor is up: the list takes `draining` for "no work, please".
+    fn beat(&mut self, due: bool) {
+        let ready = self.state.fit && !self.state.leaving;
+        if let Some(registry) = self.registry.as_mut().filter(|_| self.core.is_some()) {
+            registry.beat(ready, due);
+        }
+    }
+
+    fn carry_out(&mut self, now: f64, command: Command, inputs: &mut Vec<Input>) {
+        match command {
+            Command::Answer(ticket, answer) => self.http.answer(now, ticket, answer, &self.state),
+            Command::Run { name, class, body, .. } => {
+                if !self.executor.run(&name, class, &body, &self.state.known) {
+                    // Not even queued: it has not run, and will not.
+                    inputs.push(Input::RunEnded { name, outcome: Outcome::Error, result: None });
+                }
+            }
+            Command::Call { name, body, for_s } => match &mut self.records {
+                Some(records) => records.call(now, name, body, for_s, &mut self.wheel),
+                None => inputs.push(Input::CallEnded { name, outcome: Outcome::Unreachable, reply: None }),
+            },
+            Command::GiveUpCall(name) => {
+                if let Some(records) = &mut self.records {
+                    records.give_up(&name);
+                }
+            }
+            Command::Resume { name, reply } => {
+                if !self.executor.resume(&name, &reply) {
+                    self.log.line("executor: the queue is full; a reply is lost");
+                }
+            }
+            Command::SkipCall { name, mark } => {
+                if !self.executor.skip(&name, mark) {
+                    self.log.line("executor: the queue is full; a skip is lost");
+                }
+            }
+            Command::Health(good) => {
+                self.healthy = good;
+                if self.core.is_some() {
+                    self.state.fit = good;
+                    self.beat(false);
+                }
+            }
+            Command::Publish(level) => self.state.level = Some(level),
+            Command::CloseIdle(after) => self.idle_s = after,
+            Command::WakeIn(after) => self.wheel.set(now, after, Timer::Wake),
+            Command::Log(text) => self.log.line(&text),
+        }
+    }
+
+    fn flush(&mut self, now: f64) {
+        self.executor.flush(now, &mut self.log);
+    }
+
+    fn leave(&mut self, now: f64, inputs: &mut Vec<Input>) {
+        if self.leaving.is_some() {
+            return;
+        }
+        let in_s = self.config.stop_ms / 1000.0;
+        self.log.line(&format!("notice to leave; {in_s} s to the stop"));
+        self.leaving = Some(Leaving { notice: now, stop: now + in_s, closed: None });
+        self.state.leaving = true;
+        inputs.push(Input::Leave { in_s });
+        self.beat(false);
+    }
+
+    /// Closes the door when nothing more may be run, and ends when all is answered and written.
+    fn follow_leaving(&mut self) {
+        let now = self.clock.now();
+        let Some(leaving) = &mut self.leaving else { return };
+        if leaving.closed.is_none() && now >= leaving.notice + self.settings.leave_grace_s {
+            leaving.closed = Some(now);
+            self.http.stop_listening();
+            self.http.sweep(now, self.idle_s, true);
+            // Wakes the loop for the end itself.
+            self.wheel.set(now, CROSSING_S, Timer::Again);
+        }
+        let answered = self.core.as_ref().is_none_or(|c| c.owed() == 0) && self.http.quiet();
+        let crossed = leaving.closed.is_some_and(|at| now >= at + CROSSING_S);
+        if crossed && answered || now >= leaving.stop - STOP_MARGIN_S {
+            self.log.line(if answered { "left with all answered" } else { "left with answers owed" });
+            self.done = true;
+        }
+    }
+}
--- /dev/null
+++ b/src/net/records.rs
@@ -0,0 +1,268 @@
+//! Calls to the records service: HTTP/1.1, one at a time on a connection, kept connections used again. A call is
+//! given up by closing its connection.
+
+use super::buffer::{Filled, Link};
+use super::poll::{Place, Poll};
+use super::wheel::{Timer, Wheel};
+use super::Log;
+use crate::core::Input;
+use crate::interface::Outcome;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// A reply's head and body at most (bytes).
+const REPLY_MOST: usize = 64 * 1024;
+const HEADERS_MOST: usize = 32;
+/// The service closes a connection idle for 10 s; one that may be about to close is not used (seconds).
+const IDLE_KEEP_S: f64 = 5.0;
+const IDLE_MOST: usize = 16;
+/// A refused connection comes back at once and is tried again at once; this keeps the two from spinning while
+/// the service is down (seconds).
+const REFUSED_S: f64 = 0.04;
+
+struct Call {
+    number: u64,
+    name: Rc<str>,
+}
+
+struct Connection {
+    link: Link,
+    connected: bool,
+    call: Option<Call>,
+    idle_since: f64,
+}
+
+/// The pool of connections, and the calls in hand.
+pub struct Records {
+    address: SocketAddr,
+    poll: Poll,
+    connections: HashMap<u64, Connection>,
+    by_name: HashMap<Rc<str>, u64>,
+    /// Calls that never left, by their numbers: told after a pause.
+    refused: HashMap<u64, Rc<str>>,
+    touched: Vec<u64>,
+}
+
+impl Records {
+    pub fn new(poll: &Poll, address: SocketAddr) -> Records {
+        Records {
+            address,
+            poll: poll.clone(),
+            connections: HashMap::new(),
+            by_name: HashMap::new(),
+            refused: HashMap::new(),
+            touched: Vec::new(),
+        }
+    }
+
+    pub fn mark(&mut self, id: u64, readable: bool, writable: bool) {
+        if let Some(c) = self.connections.get_mut(&id) {
+            c.link.mark(readable, writable);
+            self.touched.push(id);
+        }
+    }
+
+    /// Places a call for a run, to be given up after `for_s`. A second call for a run gives up the first.
+    pub fn call(&mut self, now: f64, name: Rc<str>, body: Rc<[u8]>, for_s: f64, wheel: &mut Wheel) {
+        self.give_up(&name);
+        let number = self.poll.fresh();
+        let Some(id) = self.idle(now).or_else(|| self.open(now)) else {
+            // No descriptor is left, or the system refused at once: the call never left.
+            return self.refuse(now, name, wheel);
+        };
+        let Some(c) = self.connections.get_mut(&id) else { return };
+        let head = format!(
+            "POST /records/op HTTP/1.1\r\nHost: {}\r\nOp-Of: {name}\r\nOp-Wait-Ms: {}\r\nContent-Length: {}\r\n\r\n",
+            self.address,
+            (for_s * 1000.0).ceil(),
+            body.len()
+        );
+        c.link.push(head.into_bytes());
+        c.link.push_shared(body);
+        c.call = Some(Call { number, name: name.clone() });
+        self.by_name.insert(name, id);
+        self.touched.push(id);
+        wheel.set(now, for_s, Timer::Call(number));
+    }
+
+    fn refuse(&mut self, now: f64, name: Rc<str>, wheel: &mut Wheel) {
+        let number = self.poll.fresh();
+        self.refused.insert(number, name);
+        wheel.set(now, REFUSED_S, Timer::Call(number));
+    }
+
+    /// A kept connection that is sound so far as can be seen.
+    fn idle(&mut self, now: f64) -> Option<u64> {
+        loop {
+            let free = self.connections.iter().filter(|(_, c)| c.call.is_none() && c.connected);
+            let id = *free.max_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since))?.0;
+            let c = self.connections.get_mut(&id)?;
+            // Guards against a call lost to a connection that the service has just closed.
+            let sound = c.link.fill() == Filled::Open && c.link.data().is_empty();
+            if sound && now - c.idle_since < IDLE_KEEP_S {
+                return Some(id);
+            }
+            self.connections.remove(&id);
+        }
+    }
+
+    fn open(&mut self, now: f64) -> Option<u64> {
+        let id = self.poll.fresh();
+        let link = Link::connect(&self.poll, self.address, Place::Records(id), REPLY_MOST).ok()?;
+        self.connections.insert(id, Connection { link, connected: false, call: None, idle_since: now });
+        Some(id)
+    }
+
+    /// Gives up the call of a run, if there is one.
+    pub fn give_up(&mut self, name: &str) {
+        if let Some(id) = self.by_name.remove(name) {
+            self.connections.remove(&id);
+        }
+        self.refused.retain(|_, refused| &**refused != name);
+    }
+
+    /// A timer of a call has come: the call is given up, or it is told that it never left.
+    pub fn due(&mut self, number: u64, inputs: &mut Vec<Input>) {
+        if let Some(name) = self.refused.remove(&number) {
+            inputs.push(Input::CallEnded { name, outcome: Outcome::Unreachable, reply: None });
+            return;
+        }
+        let of = |c: &Connection| c.call.as_ref().is_some_and(|call| call.number == number);
+        let Some(id) = self.connections.iter().find(|(_, c)| of(c)).map(|(id, _)| *id) else { return };
+        if let Some(call) = self.connections.remove(&id).and_then(|c| c.call) {
+            self.by_name.remove(&call.name);
+            inputs.push(Input::CallEnded { name: call.name, outcome: Outcome::TimedOut, reply: None });
+        }
+    }
+
+    /// Takes what has come, for all connections that something happened to.
+    pub fn gather(&mut self, now: f64, inputs: &mut Vec<Input>, wheel: &mut Wheel, log: &mut Log) {
+        let mut touched = std::mem::take(&mut self.touched);
+        touched.sort_unstable();
+        touched.dedup();
+        for id in touched {
+            self.look(now, id, inputs, wheel, log);
+        }
+    }
+
+    fn look(&mut self, now: f64, id: u64, inputs: &mut Vec<Input>, wheel: &mut Wheel, log: &mut Log) {
+        let Some(c) = self.connections.get_mut(&id) else { return };
+        if !c.connected {
+            match c.link.connected() {
+                None => return,
+                // Nothing has been sent: refused or not, the call never ran.
+                Some(Err(_)) => {
+                    let call = self.connections.remove(&id).and_then(|c| c.call);
+                    if let Some(call) = call {
+                        self.by_name.remove(&call.name);
+                        self.refuse(now, call.name, wheel);
+                    }
+                    return;
+                }
+                Some(Ok(())) => c.connected = true,
+            }
+        }
+        let flushed = c.link.flush();
+        let filled = c.link.fill();
+        let reply = parse(c.link.data());
+        if c.call.is_none() {
+            // An idle connection that says something or ends is of no more use.
+            if filled != Filled::Open || !c.link.data().is_empty() {
+                self.connections.remove(&id);
+            }
+            return;
+        }
+        let (outcome, body, keep) = match reply {
+            Ok(Some(reply)) => {
+                let body = c.link.data().get(reply.body).unwrap_or(&[]);
+                let body = (reply.outcome == Outcome::Ok).then(|| Rc::from(body));
+                c.link.consume(reply.length);
+                (reply.outcome, body, reply.keep && filled == Filled::Open)
+            }
+            // What can't be read proves nothing, and neither does a break.
+            Err(why) => {
+                log.line(&format!("records service: {why}"));
+                (Outcome::Broken, None, false)
+            }
+            Ok(None) if filled != Filled::Open || flushed.is_err() => (Outcome::Broken, None, false),
+            Ok(None) => return,
+        };
+        c.idle_since = now;
+        let call = c.call.take();
+        if !keep || self.connections.values().filter(|c| c.call.is_none()).count() > IDLE_MOST {
+            self.connections.remove(&id);
+        }
+        if let Some(call) = call {
+            self.by_name.remove(&call.name);
+            inputs.push(Input::CallEnded { name: call.name, outcome, reply: body });
+        }
+    }
+
+    /// Closes connections that have been idle for long.
+    pub fn sweep(&mut self, now: f64) {
+        self.connections.retain(|_, c| c.call.is_some() || now - c.idle_since < IDLE_KEEP_S);
+    }
+}
+
+struct Reply {
+    outcome: Outcome,
+    body: std::ops::Range<usize>,
+    length: usize,
+    keep: bool,
+}
+
+/// Reads a reply where it lies; `None` while it is not whole.
+fn parse(data: &[u8]) -> Result<Option<Reply>, &'static str> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+    let mut head = httparse::Response::new(&mut headers);
+    let start = match head.parse(data) {
+        Ok(httparse::Status::Complete(n)) => n,
+        Ok(httparse::Status::Partial) if data.len() < REPLY_MOST => return Ok(None),
+        _ => return Err("a reply can't be read"),
+    };
+    let (mut length, mut never_ran, mut keep) = (None, false, head.version == Some(1));
+    for h in head.headers.iter() {
+        let value = std::str::from_utf8(h.value).unwrap_or("").trim();
+        if h.name.eq_ignore_ascii_case("Content-Length") {
+            length = value.parse::<usize>().ok();
+        } else if h.name.eq_ignore_ascii_case("Op-Not-Begun") {
+            never_ran = value == "1";
+        } else if h.name.eq_ignore_ascii_case("Connection") {
+            keep &= !value.eq_ignore_ascii_case("close");
+        }
+    }
+    let length = length.filter(|n| start + n <= REPLY_MOST).ok_or("a reply has no fit Content-Length")?;
+    if data.len() < start + length {
+        return Ok(None);
+    }
+    let outcome = match (head.code.unwrap_or(0), never_ran) {
+        (200, _) => Outcome::Ok,
+        (503, true) => Outcome::Full,
+        (409, true) => Outcome::TooLate,
+        (504, _) => Outcome::TimedOut,
+        _ => Outcome::Error,
+    };
+    Ok(Some(Reply { outcome, body: start..start + length, length: start + length, keep }))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn replies_are_read_whole_and_only_the_mark_proves_that_a_call_never_ran() {
+        let outcome = |head: &str| {
+            let text = format!("HTTP/1.1 {head}\r\nContent-Length: 2\r\n\r\nok");
+            assert!(parse(&text.as_bytes()[..text.len() - 1]).unwrap().is_none());
+            parse(text.as_bytes()).unwrap().unwrap().outcome
+        };
+        assert_eq!(outcome("200 OK"), Outcome::Ok);
+        assert_eq!(outcome("503 Busy\r\nOp-Not-Begun: 1"), Outcome::Full);
+        assert_eq!(outcome("503 Busy"), Outcome::Error);
+        assert_eq!(outcome("500 No"), Outcome::Error);
+        assert_eq!(outcome("504 Late"), Outcome::TimedOut);
+        assert_eq!(outcome("409 Gone\r\nOp-Not-Begun: 1"), Outcome::TooLate);
+        assert!(parse(b"nonsense\r\n\r\n").is_err());
+    }
+}
--- /dev/null
+++ b/src/net/wheel.rs
@@ -0,0 +1,125 @@
+//! Timers as coarse ticks on a wheel. A timer never fires early, and at most two ticks late by its own doing.
+
+/// The length of a tick (seconds).
+pub const TICK_S: f64 = 0.004;
+const SLOTS: usize = 512;
+
+/// What is due, by kind; a timer that has lost its meaning is let pass by whoever gets it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Timer {
+    /// The controller asked to be woken.
+    Wake,
+    /// A call below has run out of time, by its number.
+    Call(u64),
+    /// A run at an AJP server has run out of time, by its number.
+    Run(u64),
+    /// A search in the directory has run out of time, by its number.
+    Search(u64),
+    Beat,
+    Sweep,
+    Relink,
+    /// Accepting was paused for want of descriptors.
+    Accept,
+    /// Something put off to the next tick.
+    Again,
+}
+
+/// A wheel of ticks; times are seconds on the loop's clock.
+pub struct Wheel {
+    slots: Vec<Vec<(u64, Timer)>>,
+    /// All ticks before this one have fired.
+    at: u64,
+    count: usize,
+}
+
+impl Wheel {
+    pub fn new(now: f64) -> Self {
+        Wheel { slots: vec![Vec::new(); SLOTS], at: (now / TICK_S) as u64, count: 0 }
+    }
+
+    /// Sets a timer; one for the past or for now fires with the next tick.
+    pub fn set(&mut self, now: f64, after: f64, timer: Timer) {
+        let due = now + if after.is_finite() { after.max(0.0) } else { 0.0 };
+        let tick = ((due / TICK_S).ceil() as u64).max(self.at + 1);
+        self.slots[tick as usize % SLOTS].push((tick, timer));
+        self.count += 1;
+    }
+
+    /// Takes what is due, earlier ticks first.
+    pub fn expire(&mut self, now: f64, due: &mut Vec<Timer>) {
+        let to = (now / TICK_S) as u64;
+        // After a long stall one turn of the wheel sees every slot; the order is then by tick all the same.
+        let mut fired: Vec<(u64, Timer)> = Vec::new();
+        for tick in self.at + 1..=to.min(self.at + SLOTS as u64) {
+            let slot = &mut self.slots[tick as usize % SLOTS];
+            let mut i = 0;
+            while i < slot.len() {
+                if slot[i].0 <= to {
+                    fired.push(slot.remove(i));
+                } else {
+                    i += 1;
+                }
+            }
+        }
+        self.count -= fired.len();
+        fired.sort_by_key(|(tick, _)| *tick);
+        due.extend(fired.into_iter().map(|(_, timer)| timer));
+        self.at = self.at.max(to);
+    }
+
+    /// When the loop should look again: the next slot in use. It may turn out to hold only later rounds.
+    pub fn next(&self) -> Option<f64> {
+        if self.count == 0 {
+            return None;
+        }
+        let slot =
+            (self.at + 1..=self.at + SLOTS as u64).find(|t| !self.slots[*t as usize % SLOTS].is_empty());
+        slot.map(|tick| tick as f64 * TICK_S)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn fired(wheel: &mut Wheel, now: f64) -> Vec<Timer> {
+        let mut due = Vec::new();
+        wheel.expire(now, &mut due);
+        due
+    }
+
+    #[test]
+    fn timers_fire_in_order_and_never_early() {
+        let mut wheel = Wheel::new(1.0);
+        wheel.set(1.0, 0.030, Timer::Beat);
+        wheel.set(1.0, 0.010, Timer::Wake);
+        assert!(wheel.next().unwrap() >= 1.010);
+        assert!(fired(&mut wheel, 1.009).is_empty());
+        assert_eq!(fired(&mut wheel, 1.1), vec![Timer::Wake, Timer::Beat]);
+        assert_eq!(wheel.next(), None);
+    }
+
+    #[test]
+    fn a_timer_beyond_one_turn_of_the_wheel_waits_for_its_round() {
+        let mut wheel = Wheel::new(0.0);
+        wheel.set(0.0, 5.0, Timer::Beat);
+        let mut now = 0.0;
+        while now < 4.99 {
+            now += 0.05;
+            if now < 5.0 {
+                assert!(fired(&mut wheel, now).is_empty(), "{now}");
+            }
+        }
+        assert_eq!(fired(&mut wheel, 5.01), vec![Timer::Beat]);
+    }
+
+    #[test]
+    fn a_long_stall_loses_nothing() {
+        let mut wheel = Wheel::new(0.0);
+        wheel.set(0.0, 0.02, Timer::Wake);
+        wheel.set(0.0, 7.0, Timer::Beat);
+        assert_eq!(fired(&mut wheel, 60.0), vec![Timer::Wake, Timer::Beat]);
+        wheel.set(60.0, 0.0, Timer::Again);
+        assert_eq!(fired(&mut wheel, 60.01), vec![Timer::Again]);
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,10 +1,8 @@
 //! The adapter: JSON lines to events, actions to JSON, instances by number. It decides nothing.
 
 use crate::brain::Controller;
-use crate::interface::{
-    Action, Arrival, Class, Dependency, Effect, Event, Gauges, Halting, Outcome, RequestId, Settings, Signal,
-    Tenant,
-};
+use crate::config::{read_gauges, Options};
+use crate::interface::{Action, Arrival, Event, Outcome, RequestId};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 
@@ -90,84 +88,6 @@
     TooLate,
 }
 
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct Options {
-    profiles: Vec<Profile>,
-    tenants: Vec<TenantItem>,
-    domain: Domain,
-    contract: Contract,
-    limits: Limits,
-    clients: Clients,
-    over_share_worth: f64,
-    servers: u32,
-    period_s: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct Profile {
-    credit: f64,
-    late_worth: f64,
-    target_s: f64,
-    deadline_s: f64,
-    effect: String,
-    window_s: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct TenantItem {
-    quota_per_s: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct Domain {
-    class_calls: Vec<bool>,
-    cold: bool,
-    degraded_worth: Vec<f64>,
-    dep_window_s: f64,
-    depends_on: String,
-    entry_kb: f64,
-    fair_calls: f64,
-    halt: String,
-    heap_kb: f64,
-    idle_s: f64,
-    n_cores: u32,
-    own_stats: Vec<String>,
-    passes_deadline: bool,
-    readiness: bool,
-    run_factor: f64,
-    senders: u32,
-    signal: String,
-    stays_for_s: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct Contract {
-    cold_from: f64,
-    cold_s: f64,
-    drain_grace_s: f64,
-    fall_multiple: f64,
-    grace_to_answer_s: f64,
-    tip_after_s: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct Limits {
-    max_retry_after_s: f64,
-    retry_after: bool,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct Clients {
-    marks_retry: bool,
-}
-
 #[derive(Serialize)]
 struct Reply<'a> {
     workers: Vec<Outbox<'a>>,
@@ -292,7 +212,7 @@
         match item {
             Item::Provision { prng, options } => {
                 out.clear();
-                let controller = Controller::new(settings(prng, &options), now, out);
+                let controller = Controller::new(options.settings(prng), now, out);
                 self.instances.insert(
                     worker,
                     Instance {
@@ -361,16 +281,7 @@
                 Event::CallEnded { id: self.names.find(&req), outcome: outcome(&disposition) }
             }
             Item::Sigterm { remaining } => Event::Leave { in_s: remaining },
-            Item::DeadlineHit { gauge } => {
-                let read = |name: &str| {
-                    self.gauges.iter().position(|g| g == name).and_then(|i| gauge.get(i)).copied()
-                };
-                Event::Woken(Gauges {
-                    cores_busy: read("cpu_busy"),
-                    runnable: read("runnable"),
-                    connections: read("sockets"),
-                })
-            }
+            Item::DeadlineHit { gauge } => Event::Woken(read_gauges(&self.gauges, &gauge)),
             Item::Provision { .. } | Item::Stop => {
                 return Err("not an event of a running instance".to_owned())
             }
@@ -391,65 +302,6 @@
     }
 }
 
-fn settings(seed: u64, o: &Options) -> Settings {
-    let flag = |list: &[bool], i: usize| list.get(i).copied().unwrap_or_default();
-    let number = |list: &[f64], i: usize| list.get(i).copied().unwrap_or_default();
-    let class = |(i, p): (usize, &Profile)| Class {
-        worth: p.credit,
-        late_worth: p.late_worth,
-        aim_s: p.target_s,
-        deadline_s: p.deadline_s,
-        effect: match p.effect.as_str() {
-            "keyed" => Effect::Keyed,
-            "unsafe" => Effect::Unsafe,
-            _ => Effect::Safe,
-        },
-        window_s: p.window_s,
-        calls: flag(&o.domain.class_calls, i),
-        skipped_worth: number(&o.domain.degraded_worth, i),
-    };
-    Settings {
-        seed,
-        cores: o.domain.n_cores,
-        cold: o.domain.cold,
-        cold_from: o.contract.cold_from,
-        cold_s: o.contract.cold_s,
-        crowd_multiple: o.contract.fall_multiple,
-        crowd_window_s: o.contract.tip_after_s,
-        memory_kb: o.domain.heap_kb,
-        run_factor: o.domain.run_factor,
-        entry_kb: o.domain.entry_kb,
-        leave_grace_s: o.contract.drain_grace_s,
-        answer_slack_s: o.contract.grace_to_answer_s,
-        wake_ahead_s: o.period_s,
-        max_advice_s: if o.limits.retry_after { o.limits.max_retry_after_s } else { 0.0 },
-        over_quota_worth: o.over_share_worth,
-        callers: o.domain.senders,
-        workers: o.servers,
-        marks_retries: o.clients.marks_retry,
-        health_listed: o.domain.readiness,
-        idle_s: o.domain.idle_s,
-        halting: match o.domain.halt.as_str() {
-            "discard" => Halting::Discard,
-            "freeze" => Halting::Pause,
-            _ => Halting::Never,
-        },
-        signal: match o.domain.signal.as_str() {
-            "floor" => Signal::RankFloor,
-            "allowance" => Signal::Allowance,
-            "weight" => Signal::Weight,
-            _ => Signal::None,
-        },
-        dependency: (o.domain.depends_on == "one_for_all").then_some(Dependency {
-            share: o.domain.fair_calls,
-            window_s: o.domain.dep_window_s,
-            linger_s: o.domain.stays_for_s,
-        }),
-        classes: o.profiles.iter().enumerate().map(class).collect(),
-        tenants: o.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
-    }
-}
-
 /// An action for a request that the wire no longer knows has nothing to act on and is left out.
 fn order<'a>(names: &'a Names, action: &'a Action) -> Option<Order<'a>> {
     let word = |id: &RequestId| names.word(*id);
