Begin the controller's time at its own start, not at the executor's

Cause: net/mod.rs start_core passed the executor's start, 3600 s ago, as the controller's birth; brain.rs Sickness::nothing_ended measures from there, so the first run looked hung. The warmth is now taken from the executor's word only while it lies within the cold time.

--- a/src/net/executor.rs
+++ b/src/net/executor.rs
@@ -207,7 +207,7 @@
                     log.line("executor: it has been started anew; its runs are lost");
                     inputs.push(Input::RunsLost);
                 }
-                if known.is_none_or(|at| started > at + RESTARTED_S) {
+                if known.map_or(true, |at| started > at + RESTARTED_S) {
                     self.welcome = Some(Welcome { cold: state == "EMPTY", started });
                 }
             }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -294,7 +294,7 @@
     fn start_core(&mut self, now: f64) {
         let Some(welcome) = self.executor.welcome() else { return };
         let mut settings = self.settings.clone();
-        settings.cold |= welcome.cold;
+        settings.cold = welcome.cold && now - welcome.started < settings.cold_s;
         self.log.line(&format!(
             "executor is up, {}, started {:.3} s ago",
             if settings.cold { "cold" } else { "warm" },
@@ -302,7 +302,8 @@
         ));
         let room = self.config.limits.memory_mb * 1024.0 * 1024.0 / RESULT_PART;
         let mut commands = Vec::new();
-        let mut core = Core::new(settings, welcome.started, room as usize, &mut commands);
+        // The controller's time begins now, not with the executor: a past start made its first run look hung.
+        let mut core = Core::new(settings, now, room as usize, &mut commands);
         if let Some(leaving) = &self.leaving {
             let in_s = leaving.stop - now;
             core.handle(now, [Input::Leave { in_s }], &mut commands);
@@ -422,7 +423,7 @@
             // Wakes the loop for the end itself.
             self.wheel.set(now, CROSSING_S, Timer::Again);
         }
-        let answered = self.core.as_ref().is_none_or(|c| c.owed() == 0) && self.http.quiet();
+        let answered = self.core.as_ref().map_or(0, Core::owed) == 0 && self.http.quiet();
         let crossed = leaving.closed.is_some_and(|at| now >= at + CROSSING_S);
         if crossed && answered || now >= leaving.stop - STOP_MARGIN_S {
             self.log.line(if answered { "left with all answered" } else { "left with answers owed" });
