--- a/src/net/ajp.rs
+++ b/src/net/ajp.rs
@@ -205,7 +205,7 @@
     }
 }
 
-fn forward(mut r: Reader) -> Result<Forward<'_>, Bad> {
+fn forward<'a>(mut r: Reader<'a>) -> Result<Forward<'a>, Bad> {
     let method = r.byte()?;
     let mut f = Forward { method: "", ..Forward::default() };
     r.text()?; // The protocol.
@@ -335,7 +335,8 @@
 /// Writes a Forward Request; `None` where it does not fit into a packet or its method has no code.
 pub fn write_forward(f: &Forward) -> Option<Vec<u8>> {
     let method = METHODS.iter().position(|m| *m == f.method)? as u8 + 1;
-    let mut w = Writer::new(Way::ToContainer).byte(2).byte(method).string(b"HTTP/1.1").string(f.uri.as_bytes());
+    let mut w =
+        Writer::new(Way::ToContainer).byte(2).byte(method).string(b"HTTP/1.1").string(f.uri.as_bytes());
     w = w.string(b"127.0.0.1").string(b"localhost").string(f.server_name.as_bytes()).int(80).byte(0);
     w = w.int(u16::try_from(f.headers.len()).ok()?);
     for (name, value) in &f.headers {
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -13,14 +13,14 @@
 /// Bytes to be written: made for this purpose, or shared with whoever else keeps them.
 enum Chunk {
     Owned(Vec<u8>),
-    Shared(Rc<[u8]>),
+    Shared(Rc<[u8]>, std::ops::Range<usize>),
 }
 
 impl Chunk {
     fn bytes(&self) -> &[u8] {
         match self {
             Chunk::Owned(b) => b,
-            Chunk::Shared(b) => b,
+            Chunk::Shared(b, range) => &b[range.clone()],
         }
     }
 }
@@ -161,8 +161,14 @@
     }
 
     pub fn push_shared(&mut self, bytes: Rc<[u8]>) {
-        self.queued += bytes.len();
-        self.output.push_back(Chunk::Shared(bytes));
+        let all = 0..bytes.len();
+        self.push_part(bytes, all);
+    }
+
+    /// Queues a part of shared bytes.
+    pub fn push_part(&mut self, bytes: Rc<[u8]>, part: std::ops::Range<usize>) {
+        self.queued += part.len();
+        self.output.push_back(Chunk::Shared(bytes, part));
     }
 
     /// Bytes still to be written.
--- /dev/null
+++ b/src/net/connections.rs
@@ -0,0 +1,173 @@
+//! What all fronts share: accepting, the stages of a connection, and closing what is idle or too slow.
+
+use super::buffer::Link;
+use super::poll::{Accepted, Acceptor, Place, Poll};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+
+/// How long a request may take to come in whole, an answer to be taken, and a peer to see a close (seconds).
+const SLOW_REQUEST_S: f64 = 10.0;
+const SLOW_ANSWER_S: f64 = 10.0;
+const LINGER_S: f64 = 1.0;
+
+/// Where a connection is; one request at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Nothing has come of the next request.
+    Idle,
+    /// A part of a request has come.
+    Reading,
+    /// The core, or the directory before it, owes word.
+    Asked,
+    /// The answer is being written.
+    Answering,
+    /// All is said: what still comes is thrown away until the peer closes.
+    Closing,
+}
+
+/// A connection, with what its protocol remembers between two looks.
+pub struct Connection<P> {
+    pub link: Link,
+    pub stage: Stage,
+    since: f64,
+    /// To be closed after this answer.
+    pub close: bool,
+    pub memory: P,
+}
+
+impl<P> Connection<P> {
+    pub fn step(&mut self, now: f64, stage: Stage) {
+        (self.stage, self.since) = (stage, now);
+    }
+}
+
+/// A listener and its connections.
+pub struct Connections<P> {
+    acceptor: Option<Acceptor>,
+    poll: Poll,
+    place: fn(u64) -> Place,
+    room: usize,
+    all: HashMap<u64, Connection<P>>,
+    touched: Vec<u64>,
+}
+
+impl<P: Default> Connections<P> {
+    /// Listens; each connection keeps at most `room` unread bytes.
+    pub fn bind(
+        poll: &Poll,
+        address: SocketAddr,
+        listener: Place,
+        place: fn(u64) -> Place,
+        room: usize,
+    ) -> io::Result<Connections<P>> {
+        let acceptor = Some(Acceptor::bind(poll, address, listener)?);
+        Ok(Connections {
+            acceptor,
+            poll: poll.clone(),
+            place,
+            room,
+            all: HashMap::new(),
+            touched: Vec::new(),
+        })
+    }
+
+    pub fn mark_listener(&mut self) {
+        if let Some(a) = &mut self.acceptor {
+            a.mark();
+        }
+    }
+
+    pub fn mark(&mut self, id: u64, readable: bool, writable: bool) {
+        if let Some(c) = self.all.get_mut(&id) {
+            c.link.mark(readable, writable);
+            self.touched.push(id);
+        }
+    }
+
+    pub fn stop_listening(&mut self) {
+        self.acceptor = None;
+    }
+
+    /// Whether all that was asked has been answered and written out.
+    pub fn quiet(&self) -> bool {
+        self.all.values().all(|c| matches!(c.stage, Stage::Idle | Stage::Closing))
+    }
+
+    /// Whether a connection has news that the loop has not told of.
+    pub fn pending(&self) -> bool {
+        !self.touched.is_empty()
+    }
+
+    pub fn owns(&self, id: u64) -> bool {
+        self.all.contains_key(&id)
+    }
+
+    pub fn get_mut(&mut self, id: u64) -> Option<&mut Connection<P>> {
+        self.all.get_mut(&id)
+    }
+
+    /// Has this connection looked at again in the same turn.
+    pub fn touch(&mut self, id: u64) {
+        self.touched.push(id);
+    }
+
+    pub fn close(&mut self, id: u64) {
+        self.all.remove(&id);
+    }
+
+    /// Those that something happened to, each once, in the order in which they were accepted.
+    pub fn take_touched(&mut self) -> Vec<u64> {
+        let mut touched = std::mem::take(&mut self.touched);
+        touched.sort_unstable();
+        touched.dedup();
+        touched
+    }
+
+    /// Accepts whoever waits; `true` if it had to be broken off and wants another look later.
+    pub fn accept(&mut self, now: f64) -> bool {
+        for taken in 0.. {
+            let Some(acceptor) = &mut self.acceptor else { return false };
+            let stream = match acceptor.accept(taken) {
+                Accepted::Stream(stream) => stream,
+                Accepted::Nobody => return false,
+                Accepted::Pause => {
+                    self.close_longest_idle();
+                    return true;
+                }
+            };
+            let id = self.poll.fresh();
+            if stream.set_nonblocking(true).is_err() {
+                continue;
+            }
+            if let Ok(link) = Link::new(&self.poll, stream, (self.place)(id), self.room) {
+                let (stage, since, close, memory) = (Stage::Idle, now, false, P::default());
+                self.all.insert(id, Connection { link, stage, since, close, memory });
+                self.touched.push(id);
+            }
+        }
+        false
+    }
+
+    /// Makes room for a caller that waits: an idle connection may be closed at any time.
+    fn close_longest_idle(&mut self) {
+        let idle = self.all.iter().filter(|(_, c)| c.stage == Stage::Idle);
+        if let Some(id) = idle.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(id, _)| *id) {
+            self.all.remove(&id);
+        }
+    }
+
+    /// Closes what has been idle for long, and peers that are too slow to send or to read.
+    pub fn sweep(&mut self, now: f64, idle_s: f64, leaving: bool) {
+        self.all.retain(|_, c| {
+            let lasts = now - c.since;
+            match c.stage {
+                Stage::Idle => lasts < idle_s && !leaving,
+                Stage::Reading => lasts < SLOW_REQUEST_S,
+                Stage::Asked => true,
+                Stage::Answering => lasts < SLOW_ANSWER_S,
+                Stage::Closing => lasts < LINGER_S,
+            }
+        });
+    }
+}
--- a/src/net/http_front.rs
+++ b/src/net/http_front.rs
@@ -1,11 +1,11 @@
 //! The platform's front: HTTP/1.1, one request at a time on a connection, and health checks.
 
-use super::buffer::{Filled, Link};
+use super::buffer::Filled;
+use super::connections::{Connections, Stage};
 use super::fields::{Catalogue, Fault, Fields, BODY_MOST};
-use super::poll::{Accepted, Acceptor, Place, Poll};
+use super::poll::{Place, Poll};
 use super::{Clock, State};
 use crate::core::{Answer, Input, Request, Ticket};
-use std::collections::HashMap;
 use std::fmt::Write;
 use std::io;
 use std::net::SocketAddr;
@@ -16,41 +16,10 @@
 const HEADERS_MOST: usize = 64;
 /// One whole request is all that is ever kept unread in memory.
 const INPUT_MOST: usize = HEAD_MOST + BODY_MOST;
-/// How long a request may take to come in whole, an answer to be taken, and a peer to see a close (seconds).
-const SLOW_REQUEST_S: f64 = 10.0;
-const SLOW_ANSWER_S: f64 = 10.0;
-const LINGER_S: f64 = 1.0;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    /// Nothing has come of the next request.
-    Idle,
-    /// A part of a request has come.
-    Reading,
-    /// The core owes the answer.
-    Asked,
-    /// The answer is being written.
-    Answering,
-    /// All is said: what still comes is thrown away until the peer closes.
-    Closing,
-}
-
-struct Connection {
-    link: Link,
-    stage: Stage,
-    /// When the stage began.
-    since: f64,
-    /// The peer, or a fault, wants the connection closed after this answer.
-    close: bool,
-    continued: bool,
-}
-
-/// The listener and its connections.
+/// The listener and its connections; each remembers whether it has said `100 Continue`.
 pub struct HttpFront {
-    acceptor: Option<Acceptor>,
-    poll: Poll,
-    connections: HashMap<u64, Connection>,
-    touched: Vec<u64>,
+    pub connections: Connections<bool>,
 }
 
 /// A request whose body is here too, or what is wrong with it.
@@ -75,88 +44,25 @@
 
 impl HttpFront {
     pub fn bind(poll: &Poll, address: SocketAddr) -> io::Result<HttpFront> {
-        let acceptor = Some(Acceptor::bind(poll, address, Place::HttpListener)?);
-        Ok(HttpFront { acceptor, poll: poll.clone(), connections: HashMap::new(), touched: Vec::new() })
-    }
-
-    pub fn address(&self) -> Option<SocketAddr> {
-        self.acceptor.as_ref().and_then(|a| a.address().ok())
-    }
-
-    pub fn mark_listener(&mut self) {
-        if let Some(a) = &mut self.acceptor {
-            a.mark();
-        }
-    }
-
-    pub fn mark(&mut self, id: u64, readable: bool, writable: bool) {
-        if let Some(c) = self.connections.get_mut(&id) {
-            c.link.mark(readable, writable);
-            self.touched.push(id);
-        }
-    }
-
-    pub fn stop_listening(&mut self) {
-        self.acceptor = None;
-    }
-
-    /// Whether all that was asked has been answered and written out.
-    pub fn quiet(&self) -> bool {
-        self.connections.values().all(|c| matches!(c.stage, Stage::Idle | Stage::Closing))
+        let connections = Connections::bind(poll, address, Place::HttpListener, Place::Http, INPUT_MOST)?;
+        Ok(HttpFront { connections })
     }
 
     /// Accepts and reads; `true` if accepting had to be broken off and wants another look.
     pub fn gather(&mut self, clock: &Clock, state: &State, inputs: &mut Vec<Input>) -> bool {
-        let paused = self.accept(clock.now());
-        let mut touched = std::mem::take(&mut self.touched);
-        touched.sort_unstable();
-        touched.dedup();
-        for id in touched {
+        let paused = self.connections.accept(clock.now());
+        for id in self.connections.take_touched() {
             self.look(id, clock, state, inputs);
         }
         paused
     }
 
-    fn accept(&mut self, now: f64) -> bool {
-        for taken in 0.. {
-            let Some(acceptor) = &mut self.acceptor else { return false };
-            let stream = match acceptor.accept(taken) {
-                Accepted::Stream(stream) => stream,
-                Accepted::Nobody => return false,
-                Accepted::Pause => {
-                    self.close_longest_idle();
-                    return true;
-                }
-            };
-            let id = self.poll.fresh();
-            if stream.set_nonblocking(true).is_err() {
-                continue;
-            }
-            if let Ok(link) = Link::new(&self.poll, stream, Place::Http(id), INPUT_MOST) {
-                let connection =
-                    Connection { link, stage: Stage::Idle, since: now, close: false, continued: false };
-                self.connections.insert(id, connection);
-                self.touched.push(id);
-            }
-        }
-        false
-    }
-
-    /// Makes room for a caller that waits: an idle connection may be closed at any time.
-    fn close_longest_idle(&mut self) {
-        let idle = self.connections.iter().filter(|(_, c)| c.stage == Stage::Idle);
-        if let Some(id) = idle.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(id, _)| *id) {
-            self.connections.remove(&id);
-        }
-    }
-
     fn look(&mut self, id: u64, clock: &Clock, state: &State, inputs: &mut Vec<Input>) {
-        let Some(c) = self.connections.get_mut(&id) else { return };
+        let Some(c) = self.connections.get_mut(id) else { return };
         let now = clock.now();
-        let step = |c: &mut Connection, stage: Stage| (c.stage, c.since) = (stage, now);
         loop {
             if c.link.flush().is_err() {
-                self.connections.remove(&id);
+                self.connections.close(id);
                 return;
             }
             match c.stage {
@@ -165,15 +71,15 @@
                 Stage::Answering if c.link.queued() > 0 => return,
                 Stage::Answering if c.close => {
                     c.link.end_writing();
-                    step(c, Stage::Closing);
+                    c.step(now, Stage::Closing);
                 }
-                Stage::Answering => step(c, Stage::Idle),
+                Stage::Answering => c.step(now, Stage::Idle),
                 Stage::Closing => {
                     let filled = c.link.fill();
                     let n = c.link.data().len();
                     c.link.consume(n);
                     if filled != Filled::Open {
-                        self.connections.remove(&id);
+                        self.connections.close(id);
                         return;
                     }
                     if n == 0 {
@@ -184,24 +90,24 @@
                     let filled = c.link.fill();
                     if c.link.data().is_empty() {
                         if filled != Filled::Open {
-                            self.connections.remove(&id);
+                            self.connections.close(id);
                         }
                         return;
                     }
                     if c.stage == Stage::Idle {
-                        step(c, Stage::Reading);
+                        c.step(now, Stage::Reading);
                     }
                     match parse(c.link.data(), Ticket(id), &state.known, clock) {
                         Parsed::Partial { wants_continue } => {
                             // A request that will never be whole is none; the peer may have closed mid-body.
                             if filled != Filled::Open {
-                                self.connections.remove(&id);
+                                self.connections.close(id);
                                 return;
                             }
-                            if !wants_continue || c.continued {
+                            if !wants_continue || c.memory {
                                 return;
                             }
-                            c.continued = true;
+                            c.memory = true;
                             c.link.push(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec());
                         }
                         Parsed::Check { length, keep } => {
@@ -213,12 +119,12 @@
                                 simple(503, "Service Unavailable", "bad\n", "", state, c.close)
                             };
                             c.link.push(answer);
-                            step(c, Stage::Answering);
+                            c.step(now, Stage::Answering);
                         }
                         Parsed::Whole { request, length, keep } => {
                             c.link.consume(length);
-                            (c.close, c.continued) = (!keep, false);
-                            step(c, Stage::Asked);
+                            (c.close, c.memory) = (!keep, false);
+                            c.step(now, Stage::Asked);
                             inputs.push(Input::Arrived(*request));
                             return;
                         }
@@ -231,7 +137,7 @@
                             };
                             let text = format!("{}\n", fail.why);
                             c.link.push(simple(fail.code, reason(fail.code), &text, &allow, state, true));
-                            step(c, Stage::Answering);
+                            c.step(now, Stage::Answering);
                         }
                     }
                 }
@@ -241,9 +147,9 @@
 
     /// Writes an answer of the core.
     pub fn answer(&mut self, now: f64, ticket: Ticket, answer: Answer, state: &State) {
-        let Some(c) = self.connections.get_mut(&ticket.0).filter(|c| c.stage == Stage::Asked) else { return };
+        let Some(c) = self.connections.get_mut(ticket.0).filter(|c| c.stage == Stage::Asked) else { return };
         c.close |= state.leaving;
-        (c.stage, c.since) = (Stage::Answering, now);
+        c.step(now, Stage::Answering);
         match answer {
             Answer::Served(result) => {
                 c.link.push(head(200, "OK", result.len(), "", state, c.close));
@@ -262,26 +168,7 @@
             Answer::Failed => c.link.push(simple(500, reason(500), "", "", state, c.close)),
             Answer::OutOfTime => c.link.push(simple(504, reason(504), "", "", state, c.close)),
         }
-        self.touched.push(ticket.0);
-    }
-
-    /// Whether a connection has news that the loop has not told of.
-    pub fn pending(&self) -> bool {
-        !self.touched.is_empty()
-    }
-
-    /// Closes what has been idle for long, and peers that are too slow to send or to read.
-    pub fn sweep(&mut self, now: f64, idle_s: f64, leaving: bool) {
-        self.connections.retain(|_, c| {
-            let lasts = now - c.since;
-            match c.stage {
-                Stage::Idle => lasts < idle_s && !leaving,
-                Stage::Reading => lasts < SLOW_REQUEST_S,
-                Stage::Asked => true,
-                Stage::Answering => lasts < SLOW_ANSWER_S,
-                Stage::Closing => lasts < LINGER_S,
-            }
-        });
+        self.connections.touch(ticket.0);
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,7 +1,9 @@
 //! The port worker on real sockets: one thread, one loop. Each turn gathers what is ready, hands it to the core in
 //! one go, and carries out what comes back.
 
+pub mod ajp;
 pub mod buffer;
+pub mod connections;
 pub mod executor;
 pub mod fields;
 pub mod http_front;
@@ -22,7 +24,6 @@
 use poll::{Gathered, Place, Poll, ACCEPT_PAUSE_S};
 use records::Records;
 use registry::{Registry, BEAT_S};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use wheel::{Timer, Wheel};
@@ -208,18 +209,13 @@
         })
     }
 
-    /// The address of the platform's front.
-    pub fn address(&self) -> Option<SocketAddr> {
-        self.http.address()
-    }
-
     fn turn(&mut self, gathered: &mut Gathered) {
         let now = self.clock.now();
         self.log.at(now);
         for (place, readable, writable) in gathered.take() {
             match place {
-                Place::HttpListener => self.http.mark_listener(),
-                Place::Http(id) => self.http.mark(id, readable, writable),
+                Place::HttpListener => self.http.connections.mark_listener(),
+                Place::Http(id) => self.http.connections.mark(id, readable, writable),
                 Place::Executor(id) => self.executor.mark(id, readable, writable),
                 Place::Records(id) => {
                     if let Some(r) = &mut self.records {
@@ -249,7 +245,7 @@
                 self.carry_out(now, command, &mut inputs);
             }
             self.flush(now);
-            if !self.http.pending() && inputs.is_empty() {
+            if !self.http.connections.pending() && inputs.is_empty() {
                 break;
             }
             if round + 1 == ROUNDS {
@@ -334,7 +330,7 @@
             }
             Timer::Sweep => {
                 let closing = self.leaving.as_ref().is_some_and(|l| l.closed.is_some());
-                self.http.sweep(now, self.idle_s, closing);
+                self.http.connections.sweep(now, self.idle_s, closing);
                 if let Some(r) = &mut self.records {
                     r.sweep(now);
                 }
@@ -418,12 +414,12 @@
         let Some(leaving) = &mut self.leaving else { return };
         if leaving.closed.is_none() && now >= leaving.notice + self.settings.leave_grace_s {
             leaving.closed = Some(now);
-            self.http.stop_listening();
-            self.http.sweep(now, self.idle_s, true);
+            self.http.connections.stop_listening();
+            self.http.connections.sweep(now, self.idle_s, true);
             // Wakes the loop for the end itself.
             self.wheel.set(now, CROSSING_S, Timer::Again);
         }
-        let answered = self.core.as_ref().map_or(0, Core::owed) == 0 && self.http.quiet();
+        let answered = self.core.as_ref().map_or(0, Core::owed) == 0 && self.http.connections.quiet();
         let crossed = leaving.closed.is_some_and(|at| now >= at + CROSSING_S);
         if crossed && answered || now >= leaving.stop - STOP_MARGIN_S {
             self.log.line(if answered { "left with all answered" } else { "left with answers owed" });
