--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -70,6 +70,10 @@
         outcome: Outcome,
         reply: Option<Rc<[u8]>>,
     },
+    /// A backend proves that a run which it was given never began, and will not.
+    NeverRan {
+        name: Rc<str>,
+    },
     /// The backend has lost all runs: none of them will end by itself.
     RunsLost,
     Leave {
@@ -99,6 +103,9 @@
 /// An answer given this close to the due time is one for lack of time (seconds).
 const NEAR_DUE_S: f64 = 0.2;
 
+/// When to come back after a run that could not be begun (seconds).
+const COME_BACK_S: f64 = 1.0;
+
 struct Held {
     request: Request,
     due: f64,
@@ -201,6 +208,11 @@
                 }
                 events.push_back(Event::CallEnded { id, outcome });
             }
+            Input::NeverRan { name } => {
+                if let Some(&id) = self.names.get(&name) {
+                    self.never_ran(id, events, out);
+                }
+            }
             Input::RunsLost => {
                 let mut lost: Vec<RequestId> =
                     self.requests.iter().filter(|(_, h)| h.started).map(|(id, _)| *id).collect();
@@ -292,6 +304,24 @@
         }
     }
 
+    /// A run that provably never began is no run: it and what waits for its key are turned away, and the key is
+    /// free for a later try.
+    fn never_ran(&mut self, id: RequestId, events: &mut VecDeque<Event>, out: &mut Vec<Command>) {
+        let Some(held) = self.requests.get(&id) else { return };
+        let mut over = vec![id];
+        if let Some(key) = held.key.clone() {
+            if let Some(entry) = self.keys.get_mut(&key).filter(|e| e.holder == id) {
+                over.append(&mut entry.waiting);
+            }
+            self.keys.forget(&key, id);
+        }
+        for id in over.into_iter().filter(|id| self.requests.contains_key(id)).collect::<Vec<_>>() {
+            self.answer(id, Answer::Refused { stay_away_s: COME_BACK_S, no_other: false }, out);
+            self.remove(id);
+            events.push_back(Event::RunEnded { id, outcome: Outcome::TooLate });
+        }
+    }
+
     fn share(&mut self, id: RequestId, events: &mut VecDeque<Event>, out: &mut Vec<Command>) {
         let key = self.requests.get(&id).and_then(|h| h.key.clone());
         let progress = match key.and_then(|k| self.keys.get_mut(&k)) {
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -72,6 +72,11 @@
         })
     }
 
+    /// Where it listens, by the system's word.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.acceptor.as_ref().and_then(|a| a.address().ok())
+    }
+
     pub fn mark_listener(&mut self) {
         if let Some(a) = &mut self.acceptor {
             a.mark();
--- a/src/net/fields.rs
+++ b/src/net/fields.rs
@@ -42,6 +42,10 @@
         self.names.get(class).map_or("", |n| n)
     }
 
+    pub fn effect(&self, class: usize) -> Effect {
+        self.kinds[class].effect
+    }
+
     pub fn tenant(&self, name: &str) -> Option<usize> {
         self.tenants.get(name).copied()
     }
@@ -101,6 +105,20 @@
         }
     }
 
+    /// Counts a request that tells no time of its own from this moment on the Unix clock (milliseconds).
+    pub fn arrived_at(&mut self, unix_ms: f64) {
+        self.arrived_ms.get_or_insert(unix_ms);
+    }
+
+    /// How long its caller waits from now on (seconds). The time that it lay unread is part of it.
+    pub fn time_left(&self, class: usize, known: &Catalogue, clock: &Clock) -> f64 {
+        self.deadline_ms.map_or(known.kinds[class].deadline_s, |ms| ms / 1000.0) - self.unread_s(clock)
+    }
+
+    fn unread_s(&self, clock: &Clock) -> f64 {
+        self.arrived_ms.map_or(0.0, |at| ((clock.unix_ms() - at) / 1000.0).max(0.0))
+    }
+
     /// Makes the request for the core. `tenant` is the one that the front found; else the field's counts.
     pub fn request(
         self,
@@ -118,15 +136,13 @@
             (None, None) if known.tenants.is_empty() => None,
             (None, None) => return Err(Fault::Field("X-Org")),
         };
-        let kind = &known.kinds[class];
         // Without its key nothing could keep a keyed request from running twice.
-        let key = self.key.filter(|_| kind.effect == Effect::Keyed);
-        if kind.effect == Effect::Keyed && key.is_none() {
+        let keyed = known.effect(class) == Effect::Keyed;
+        if keyed && self.key.is_none() {
             return Err(Fault::Field("X-Operation-Key"));
         }
-        // The time that it lay unread is part of what its caller waits.
-        let unread_s = self.arrived_ms.map_or(0.0, |at| ((clock.unix_ms() - at) / 1000.0).max(0.0));
-        let waits_s = self.deadline_ms.map_or(kind.deadline_s, |ms| ms / 1000.0);
+        let unread_s = self.unread_s(clock);
+        let patience_s = self.time_left(class, known, clock);
         Ok(Request {
             ticket,
             name: self.id.ok_or(Fault::Field("X-Correlation-Id"))?,
@@ -135,9 +151,9 @@
             caller: self.caller.unwrap_or(0),
             kb: self.need_kb.unwrap_or(DEFAULT_NEED_KB),
             unread_s,
-            patience_s: waits_s - unread_s,
+            patience_s,
             size_s: self.estimate_ms.map(|ms| ms / 1000.0).filter(|s| *s > 0.0),
-            key,
+            key: self.key.filter(|_| keyed),
             retry: self.resent.unwrap_or(false),
             body: body.into(),
         })
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,8 @@
 //! one go, and carries out what comes back.
 
 pub mod ajp;
+pub mod ajp_backend;
+pub mod ajp_front;
 pub mod buffer;
 pub mod connections;
 pub mod executor;
@@ -12,13 +14,15 @@
 pub mod registry;
 pub mod wheel;
 
-use crate::config::{Config, RESERVED_SOCKETS};
-use crate::core::{Answer, Command, Core, Input};
+use crate::config::{Config, Operator, RESERVED_SOCKETS};
+use crate::core::{Answer, Command, Core, Input, Ticket};
 use crate::interface::{Outcome, Settings};
+use ajp_backend::AjpBackend;
+use ajp_front::{AjpFront, Found};
 use calloop::signals::{Signal, Signals};
 use calloop::timer::{TimeoutAction, Timer as LoopTimer};
 use calloop::{EventLoop, RegistrationToken};
-use executor::Executor;
+use executor::{Executor, Welcome};
 use fields::Catalogue;
 use http_front::HttpFront;
 use poll::{Gathered, Place, Poll, ACCEPT_PAUSE_S};
@@ -125,7 +129,10 @@
     healthy: bool,
     idle_s: f64,
     http: HttpFront,
+    ajp: Option<AjpFront>,
+    /// Runs go to the executor, or to AJP servers where the operator names some.
     executor: Executor,
+    servers: Option<AjpBackend>,
     records: Option<Records>,
     registry: Option<Registry>,
     leaving: Option<Leaving>,
@@ -135,7 +142,7 @@
 }
 
 /// Runs a port worker until it has left.
-pub fn run(config: Config) -> Result<(), String> {
+pub fn run(config: Config, operator: Operator) -> Result<(), String> {
     let mut events: EventLoop<Gathered> = EventLoop::try_new().map_err(|e| format!("event loop: {e}"))?;
     let handle = events.handle();
     // Before anything else: from here on the notice is taken in turn, not by the default death.
@@ -145,7 +152,7 @@
         .map_err(|e| format!("signals: {e}"))?;
     let mut timer_token: Option<RegistrationToken> = None;
     let poll = Poll::new(handle.clone(), config.limits.sockets - RESERVED_SOCKETS);
-    let mut worker = Worker::new(config, &poll)?;
+    let mut worker = Worker::new(config, operator, &poll)?;
     let mut gathered = Gathered::default();
     let mut armed = None;
     worker.turn(&mut gathered);
@@ -172,7 +179,7 @@
 }
 
 impl Worker {
-    fn new(config: Config, poll: &Poll) -> Result<Worker, String> {
+    fn new(config: Config, operator: Operator, poll: &Poll) -> Result<Worker, String> {
         let clock = Clock::new();
         let mut settings = config.settings.settings(config.seed_number());
         // Kept keys and results lie in this process's own memory: the platform books none for them.
@@ -180,12 +187,29 @@
         let known = Rc::new(Catalogue::new(&config.settings, &settings));
         let http = HttpFront::bind(poll, config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
         let executor = Executor::new(poll, config.executor, config.settings.domain.own_stats.clone());
+        let by = operator.directory.as_ref().map(|d| d.identity);
+        let ajp = match operator.ajp {
+            Some(ajp) => {
+                let listen = ajp.listen;
+                let front = AjpFront::bind(poll, ajp, by, config.seed_number());
+                Some(front.map_err(|e| format!("{listen}: {e}"))?)
+            }
+            None => None,
+        };
+        let servers = operator.backend.map(|settings| AjpBackend::new(poll, settings));
         let registry = match config.registry {
             Some(to) => Some(Registry::new(to, &config.name).map_err(|e| format!("registry {to}: {e}"))?),
             None => None,
         };
         let mut log = Log::default();
-        log.line(&format!("{} listens on {}", config.name, config.listen));
+        for (front, address) in [
+            ("http", http.connections.address()),
+            ("ajp", ajp.as_ref().and_then(|a| a.connections.address())),
+        ] {
+            if let Some(address) = address {
+                log.line(&format!("{}: {front} on {address}", config.name));
+            }
+        }
         let mut wheel = Wheel::new(clock.now());
         wheel.set(clock.now(), SWEEP_S, Timer::Sweep);
         Ok(Worker {
@@ -204,7 +228,9 @@
             config,
             settings,
             http,
+            ajp,
             executor,
+            servers,
             registry,
         })
     }
@@ -216,6 +242,21 @@
             match place {
                 Place::HttpListener => self.http.connections.mark_listener(),
                 Place::Http(id) => self.http.connections.mark(id, readable, writable),
+                Place::AjpListener => {
+                    if let Some(a) = &mut self.ajp {
+                        a.connections.mark_listener();
+                    }
+                }
+                Place::Ajp(id) => {
+                    if let Some(a) = &mut self.ajp {
+                        a.connections.mark(id, readable, writable);
+                    }
+                }
+                Place::AjpServer(id) => {
+                    if let Some(s) = &mut self.servers {
+                        s.mark(id, readable, writable);
+                    }
+                }
                 Place::Executor(id) => self.executor.mark(id, readable, writable),
                 Place::Records(id) => {
                     if let Some(r) = &mut self.records {
@@ -245,7 +286,7 @@
                 self.carry_out(now, command, &mut inputs);
             }
             self.flush(now);
-            if !self.http.connections.pending() && inputs.is_empty() {
+            if !self.pending() && inputs.is_empty() {
                 break;
             }
             if round + 1 == ROUNDS {
@@ -255,11 +296,23 @@
         self.follow_leaving();
     }
 
+    /// Whether something waits that the loop will not tell of.
+    fn pending(&self) -> bool {
+        self.http.connections.pending()
+            || self.ajp.as_ref().is_some_and(|a| a.connections.pending())
+            || self.servers.as_ref().is_some_and(AjpBackend::pending)
+    }
+
     /// Takes in all that is ready: outcomes first, which make room for what arrives.
     fn gather(&mut self, inputs: &mut Vec<Input>) {
         let now = self.clock.now();
-        self.executor.gather(now, inputs, &mut self.log);
-        if let Some(after) = self.executor.relink_in(now).filter(|_| !self.relink_timer) {
+        match &mut self.servers {
+            Some(servers) => servers.gather(now, &self.state.known, inputs, &mut self.wheel, &mut self.log),
+            None => self.executor.gather(now, inputs, &mut self.log),
+        }
+        if let Some(after) =
+            self.executor.relink_in(now).filter(|_| self.servers.is_none() && !self.relink_timer)
+        {
             self.relink_timer = true;
             self.wheel.set(now, after, Timer::Relink);
         }
@@ -269,7 +322,14 @@
         if let Some(records) = &mut self.records {
             records.gather(now, inputs, &mut self.wheel, &mut self.log);
         }
-        let paused = self.http.gather(&self.clock, &self.state, inputs);
+        let mut paused = self.http.gather(&self.clock, &self.state, inputs);
+        if let Some(ajp) = &mut self.ajp {
+            let mut lookups = Vec::new();
+            paused |= ajp.gather(&self.clock, &self.state, inputs, &mut lookups, &mut self.log);
+            for lookup in lookups {
+                ajp.found(lookup.ticket, Found::Down, &self.clock, &self.state, inputs);
+            }
+        }
         if paused && !self.accept_timer {
             self.accept_timer = true;
             self.wheel.set(now, ACCEPT_PAUSE_S, Timer::Accept);
@@ -281,14 +341,23 @@
         for input in inputs.drain(..) {
             if let Input::Arrived(request) = input {
                 let answer = Answer::Refused { stay_away_s: NOT_UP_S, no_other: false };
-                self.http.answer(now, request.ticket, answer, &self.state);
+                self.answer(now, request.ticket, answer);
             }
         }
     }
 
+    fn answer(&mut self, now: f64, ticket: Ticket, answer: Answer) {
+        match &mut self.ajp {
+            Some(ajp) if ajp.connections.owns(ticket.0) => ajp.answer(now, ticket, answer, &self.state),
+            _ => self.http.answer(now, ticket, answer, &self.state),
+        }
+    }
+
     /// The executor is up: the controller starts with it, as warm as the executor says.
     fn start_core(&mut self, now: f64) {
-        let Some(welcome) = self.executor.welcome() else { return };
+        // AJP servers say nothing of their start: they are taken to be up and warm.
+        let up = self.servers.as_ref().map(|_| Welcome { cold: false, started: now });
+        let Some(welcome) = up.or(self.executor.welcome()) else { return };
         let mut settings = self.settings.clone();
         settings.cold = welcome.cold && now - welcome.started < settings.cold_s;
         self.log.line(&format!(
@@ -324,13 +393,21 @@
                     r.due(number, inputs);
                 }
             }
+            Timer::Run(number) => {
+                if let Some(s) = &mut self.servers {
+                    s.due(now, number, inputs, &mut self.wheel, &mut self.log);
+                }
+            }
             Timer::Beat => {
                 self.beat(true);
                 self.wheel.set(now, BEAT_S, Timer::Beat);
             }
             Timer::Sweep => {
                 let closing = self.leaving.as_ref().is_some_and(|l| l.closed.is_some());
-                self.http.connections.sweep(now, self.idle_s, closing);
+                self.sweep_fronts(now, closing);
+                if let Some(s) = &mut self.servers {
+                    s.sweep(now);
+                }
                 if let Some(r) = &mut self.records {
                     r.sweep(now);
                 }
@@ -352,11 +429,13 @@
 
     fn carry_out(&mut self, now: f64, command: Command, inputs: &mut Vec<Input>) {
         match command {
-            Command::Answer(ticket, answer) => self.http.answer(now, ticket, answer, &self.state),
-            Command::Run { name, class, body, .. } => {
-                if !self.executor.run(&name, class, &body, &self.state.known) {
+            Command::Answer(ticket, answer) => self.answer(now, ticket, answer),
+            Command::Run { name, class, body, due } => {
+                if let Some(servers) = &mut self.servers {
+                    servers.run(now, name, class, body, due, &mut self.wheel);
+                } else if !self.executor.run(&name, class, &body, &self.state.known) {
                     // Not even queued: it has not run, and will not.
-                    inputs.push(Input::RunEnded { name, outcome: Outcome::Error, result: None });
+                    inputs.push(Input::NeverRan { name });
                 }
             }
             Command::Call { name, body, for_s } => match &mut self.records {
@@ -408,18 +487,32 @@
         self.beat(false);
     }
 
+    fn sweep_fronts(&mut self, now: f64, leaving: bool) {
+        self.http.connections.sweep(now, self.idle_s, leaving);
+        if let Some(ajp) = &mut self.ajp {
+            ajp.connections.sweep(now, self.idle_s, leaving);
+        }
+    }
+
     /// Closes the door when nothing more may be run, and ends when all is answered and written.
     fn follow_leaving(&mut self) {
         let now = self.clock.now();
-        let Some(leaving) = &mut self.leaving else { return };
-        if leaving.closed.is_none() && now >= leaving.notice + self.settings.leave_grace_s {
+        let grace_s = self.settings.leave_grace_s;
+        let closes = |l: &Leaving| l.closed.is_none() && now >= l.notice + grace_s;
+        if let Some(leaving) = self.leaving.as_mut().filter(|l| closes(l)) {
             leaving.closed = Some(now);
             self.http.connections.stop_listening();
-            self.http.connections.sweep(now, self.idle_s, true);
+            if let Some(ajp) = &mut self.ajp {
+                ajp.connections.stop_listening();
+            }
+            self.sweep_fronts(now, true);
             // Wakes the loop for the end itself.
             self.wheel.set(now, CROSSING_S, Timer::Again);
         }
-        let answered = self.core.as_ref().map_or(0, Core::owed) == 0 && self.http.connections.quiet();
+        let answered = self.core.as_ref().map_or(0, Core::owed) == 0
+            && self.http.connections.quiet()
+            && self.ajp.as_ref().map_or(true, |a| a.connections.quiet());
+        let Some(leaving) = &self.leaving else { return };
         let crossed = leaving.closed.is_some_and(|at| now >= at + CROSSING_S);
         if crossed && answered || now >= leaving.stop - STOP_MARGIN_S {
             self.log.line(if answered { "left with all answered" } else { "left with answers owed" });
