Tell the platform's front, executor link and records calls as loopback stories

tests/http.rs starts the program against a scripted executor, records service and registry on ephemeral ports, one story a failure: repeats of a key before, during and after its run; every end of a run; calls that break, are refused, are turned away; a link lost and taken up again; drain; bad requests; full table; bad configuration.

Seen while writing: with the records service down a read is tried again until it is due and then refused or skipped at the last moment (brain.rs call_ended: Unreachable lowers no bound).

--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,368 @@
+//! A port worker started for real, and the scripted peers round it. All waits are for conditions; the one limit
+//! on them is far beyond what a slow machine needs.
+#![allow(dead_code)]
+
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// How long a test waits for anything before it gives up.
+pub const PATIENCE: Duration = Duration::from_secs(15);
+
+static NAMES: AtomicU64 = AtomicU64::new(1);
+
+/// A name that no other request of this test process has.
+pub fn name() -> String {
+    format!("{:016x}", NAMES.fetch_add(1, Ordering::Relaxed))
+}
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+fn patient(stream: TcpStream) -> TcpStream {
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.set_write_timeout(Some(PATIENCE)).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream
+}
+
+/// Accepts one connection within the test's patience.
+pub fn accept(listener: &TcpListener) -> TcpStream {
+    listener.set_nonblocking(true).unwrap();
+    let until = Instant::now() + PATIENCE;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(false).unwrap();
+                return patient(stream);
+            }
+            Err(_) => {
+                assert!(Instant::now() < until, "nobody connects");
+                std::thread::sleep(Duration::from_millis(2));
+            }
+        }
+    }
+}
+
+/// The worker and all that it speaks to. Dropping it ends the worker.
+pub struct Site {
+    child: Child,
+    lines: Receiver<String>,
+    pub log: Vec<String>,
+    pub http: SocketAddr,
+    pub ajp: Option<SocketAddr>,
+    pub executor: TcpListener,
+    pub records: TcpListener,
+    pub registry: UdpSocket,
+    folder: std::path::PathBuf,
+}
+
+/// A small site: `look` is safe and calls below, `order` is keyed; one tenant, two cores.
+pub fn settings() -> Value {
+    json!({
+        "profiles": [
+            {"name": "look", "credit": 1.0, "targetS": 4.0, "deadlineS": 8.0, "effect": "safe", "windowS": 5.0},
+            {"name": "order", "credit": 5.0, "targetS": 4.0, "deadlineS": 8.0, "effect": "keyed", "windowS": 30.0}
+        ],
+        "tenants": [{"name": "acme", "quotaPerS": 1000.0, "share": 1.0}],
+        "domain": {
+            "nCores": 2, "heapKb": 90000.0, "runFactor": 4.0, "entryKb": 100.0, "idleS": 30.0,
+            "dependsOn": "one_for_all", "fairCalls": 8.0, "depWindowS": 5.0, "staysForS": 0.2,
+            "classCalls": [true, true], "degradedWorth": [0.6, 0.0], "passesDeadline": true,
+            "signal": "weight", "ownStats": ["cpu_busy", "runnable", "mem_used", "sockets"], "senders": 2
+        },
+        "contract": {"fallMultiple": 8.0, "tipAfterS": 3.0, "drainGraceS": 0.4, "graceToAnswerS": 0.1},
+        "limits": {"maxRetryAfterS": 1.0, "retryAfter": true},
+        "clients": {"marksRetry": true}, "overShareWorth": 0.1, "servers": 2, "periodS": 0.004
+    })
+}
+
+impl Site {
+    pub fn start() -> Site {
+        Site::with(|_| {}, None)
+    }
+
+    /// Starts a worker with a changed configuration, and with an operator's file if there is a text for one.
+    pub fn with(change: impl FnOnce(&mut Value), operator: Option<&str>) -> Site {
+        let executor = TcpListener::bind("127.0.0.1:0").unwrap();
+        let records = TcpListener::bind("127.0.0.1:0").unwrap();
+        let registry = UdpSocket::bind("127.0.0.1:0").unwrap();
+        registry.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut config = json!({
+            "name": "n1", "listen": "127.0.0.1:0", "executor": executor.local_addr().unwrap(),
+            "registry": registry.local_addr().unwrap(), "records": records.local_addr().unwrap(),
+            "seed": "8c1f30d27a5be964", "stop_ms": 5000,
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "settings": settings()
+        });
+        change(&mut config);
+        let folder = std::env::temp_dir().join(format!("honeypost-{}-{}", std::process::id(), name()));
+        std::fs::create_dir_all(&folder).unwrap();
+        std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_honeypost"));
+        command.env("ROUTER_CONFIG", folder.join("config.json")).stderr(Stdio::piped());
+        if let Some(text) = operator {
+            std::fs::write(folder.join("operator.toml"), text).unwrap();
+            command.arg("--operator").arg(folder.join("operator.toml"));
+        }
+        let mut child = command.spawn().unwrap();
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        let (sender, lines) = channel();
+        std::thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| sender.send(l)));
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut site = Site {
+            child,
+            lines,
+            log: Vec::new(),
+            http: nowhere,
+            ajp: None,
+            executor,
+            records,
+            registry,
+            folder,
+        };
+        site.http = site.address("http on ");
+        site.ajp = operator.filter(|o| o.contains("[ajp]")).map(|_| site.address("ajp on "));
+        site
+    }
+
+    fn address(&mut self, mark: &str) -> SocketAddr {
+        let line = self.wait_log(mark);
+        line.split(mark).nth(1).unwrap().trim().parse().unwrap()
+    }
+
+    /// Waits for a line of the worker's log.
+    pub fn wait_log(&mut self, part: &str) -> String {
+        loop {
+            let line =
+                self.lines.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("no {part:?} in {:?}", self.log));
+            self.log.push(line.clone());
+            if line.contains(part) {
+                return line;
+            }
+        }
+    }
+
+    /// Links up as an executor that is warm.
+    pub fn link(&self) -> Executor {
+        let mut executor = Executor::accept(&self.executor);
+        assert_eq!(executor.next("JOIN")["n"], 0);
+        executor.say(json!({"type": "WELCOME", "state": "LOADED", "took": 3_600_000.0}));
+        self.wait_beat("ready");
+        executor
+    }
+
+    pub fn wait_beat(&self, state: &str) {
+        let mut bytes = [0; 64];
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let n = self.registry.recv(&mut bytes).expect("a beat");
+            if bytes[..n] == *format!("BEAT n1 {state}").as_bytes() {
+                return;
+            }
+            assert!(Instant::now() < until, "no beat says {state}");
+        }
+    }
+
+    pub fn terminate(&self) {
+        let id = self.child.id();
+        assert!(Command::new("sh").arg("-c").arg(format!("kill -TERM {id}")).status().unwrap().success());
+    }
+
+    /// Waits for the end; `true` if it was a good one.
+    pub fn ended_well(&mut self) -> bool {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.success();
+            }
+            assert!(Instant::now() < until, "the worker does not end");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    pub fn alive(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A scripted executor on one link. Questions for the gauges are answered along the way.
+pub struct Executor {
+    reader: BufReader<TcpStream>,
+    pub n: u64,
+}
+
+impl Executor {
+    pub fn accept(listener: &TcpListener) -> Executor {
+        Executor { reader: BufReader::new(accept(listener)), n: 0 }
+    }
+
+    pub fn say(&mut self, notice: Value) {
+        self.reader.get_ref().write_all(format!("{notice}\n").as_bytes()).unwrap();
+    }
+
+    /// Says a notice with the next number.
+    pub fn notice(&mut self, mut notice: Value) {
+        self.n += 1;
+        notice["n"] = json!(self.n);
+        self.say(notice);
+    }
+
+    pub fn exit(&mut self, job: &Value, state: &str, result: &str) {
+        self.notice(json!({"type": "EXIT", "job": job, "state": state, "took": 1.0, "data": encode(result)}));
+    }
+
+    /// The next command that is no question for the gauges.
+    pub fn command(&mut self) -> Value {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            assert!(Instant::now() < until, "no command but questions for the gauges");
+            let mut line = String::new();
+            assert!(self.reader.read_line(&mut line).expect("a command") > 0, "the link was closed");
+            let command: Value = serde_json::from_str(&line).unwrap();
+            if command["type"] != "METER" {
+                return command;
+            }
+            self.say(json!({"type": "METERS", "ref": command["ref"], "gauges": [0.5, 1, 0.1, 3]}));
+        }
+    }
+
+    pub fn next(&mut self, kind: &str) -> Value {
+        let command = self.command();
+        assert_eq!(command["type"], kind, "{command}");
+        command
+    }
+
+    /// Asserts that nothing but questions for the gauges came so far: the answer to a marker request shows that
+    /// the worker has seen all that was sent before.
+    pub fn quiet_but_for(&mut self, site: &Site, seen: &str) {
+        let marker = name();
+        let mut client = Client::connect(site.http);
+        client.send(&Ask { id: &marker, ..Ask::new("look") });
+        loop {
+            let command = self.command();
+            assert_ne!(command["job"], seen, "{command}");
+            if command["job"] == marker.as_str() {
+                self.exit(&command["job"], "PASS", "");
+                assert_eq!(client.answer().status, 200);
+                return;
+            }
+        }
+    }
+}
+
+pub fn encode(text: &str) -> String {
+    use base64::Engine;
+    base64::engine::general_purpose::STANDARD.encode(text)
+}
+
+/// A request of the platform's front.
+pub struct Ask<'a> {
+    pub id: &'a str,
+    pub class: &'a str,
+    pub key: Option<&'a str>,
+    pub body: &'a str,
+    pub deadline_ms: u64,
+    pub arrived_ms: u64,
+    pub extra: &'a str,
+}
+
+impl<'a> Ask<'a> {
+    pub fn new(class: &'a str) -> Ask<'a> {
+        Ask { id: "", class, key: None, body: "hello", deadline_ms: 8000, arrived_ms: unix_ms(), extra: "" }
+    }
+
+    pub fn text(&self) -> String {
+        let key = self.key.map_or(String::new(), |k| format!("X-Operation-Key: {k}\r\n"));
+        let id = if self.id.is_empty() { name() } else { self.id.to_owned() };
+        format!(
+            "POST /do/{} HTTP/1.1\r\nHost: service.internal\r\nX-Correlation-Id: {id}\r\nX-Arrived-Ms: {}\r\n\
+             X-Upstream-Peer: 4\r\nX-Org: acme\r\nX-Deadline-Ms: {}\r\nX-Estimate-Ms: 12.50\r\nX-Need-Kb: 24.5\r\n\
+             X-Criticality: 0.6250\r\n{key}{}Content-Length: {}\r\n\r\n{}",
+            self.class,
+            self.arrived_ms,
+            self.deadline_ms,
+            self.extra,
+            self.body.len(),
+            self.body
+        )
+    }
+}
+
+#[derive(Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|l| {
+            l.split_once(':').filter(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
+        })
+    }
+}
+
+/// A caller over HTTP, also used to read what the worker sends to the records service.
+pub struct Client {
+    pub reader: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn connect(to: SocketAddr) -> Client {
+        Client::on(patient(TcpStream::connect(to).unwrap()))
+    }
+
+    pub fn on(stream: TcpStream) -> Client {
+        Client { reader: BufReader::new(stream) }
+    }
+
+    pub fn write(&mut self, text: &str) {
+        self.reader.get_ref().write_all(text.as_bytes()).unwrap();
+    }
+
+    pub fn send(&mut self, ask: &Ask) {
+        self.write(&ask.text());
+    }
+
+    /// Reads one head and its body: the first line, the rest of the head, the body.
+    pub fn message(&mut self) -> (String, String, Vec<u8>) {
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            assert!(self.reader.read_line(&mut head).expect("a message") > 0, "closed after {head:?}");
+        }
+        let (first, rest) = head.split_once("\r\n").unwrap();
+        let reply = Reply { status: 0, head: rest.to_owned(), body: Vec::new() };
+        let mut body = vec![0; reply.header("Content-Length").unwrap().parse().unwrap()];
+        self.reader.read_exact(&mut body).unwrap();
+        (first.to_owned(), reply.head, body)
+    }
+
+    pub fn answer(&mut self) -> Reply {
+        let (first, head, body) = self.message();
+        Reply { status: first.split(' ').nth(1).unwrap().parse().unwrap(), head, body }
+    }
+
+    pub fn ask(&mut self, ask: &Ask) -> Reply {
+        self.send(ask);
+        self.answer()
+    }
+
+    /// Whether the peer has closed, without another byte.
+    pub fn closed(&mut self) -> bool {
+        matches!(self.reader.read(&mut [0; 16]), Ok(0) | Err(_))
+    }
+}
--- /dev/null
+++ b/tests/http.rs
@@ -0,0 +1,386 @@
+//! Stories of the port worker on real sockets, one for each failure that it guards against.
+
+mod common;
+
+use common::*;
+use serde_json::json;
+use std::process::Command;
+
+#[test]
+fn a_request_is_run_with_its_body_and_served_with_its_result() {
+    let site = Site::start();
+    let mut executor = site.link();
+    let mut client = Client::connect(site.http);
+    for round in 0..2 {
+        let id = name();
+        client.send(&Ask { id: &id, body: "caf\u{e9}\0", ..Ask::new("look") });
+        let exec = executor.next("EXEC");
+        assert_eq!(
+            (&exec["job"], &exec["kind"], &exec["data"]),
+            (&json!(id), &json!("look"), &json!(encode("caf\u{e9}\0")))
+        );
+        executor.exit(&exec["job"], "PASS", "the result");
+        let reply = client.answer();
+        assert_eq!((reply.status, &reply.body[..]), (200, &b"the result"[..]), "round {round}");
+        assert_eq!(reply.header("X-Backend-Says"), Some("1"));
+    }
+}
+
+#[test]
+fn a_key_is_run_once_and_every_try_gets_the_stored_bytes() {
+    let site = Site::start();
+    let mut executor = site.link();
+    let (mut first, mut second) = (Client::connect(site.http), Client::connect(site.http));
+    let order = || Ask { key: Some("k1"), ..Ask::new("order") };
+    first.send(&order());
+    let exec = executor.next("EXEC");
+    // The second try comes while the first runs; the third when it has long been served.
+    second.send(&order());
+    executor.quiet_but_for(&site, "");
+    executor.exit(&exec["job"], "PASS", "placed 17");
+    for client in [&mut first, &mut second] {
+        let reply = client.answer();
+        assert_eq!((reply.status, &reply.body[..]), (200, &b"placed 17"[..]));
+    }
+    let reply = first.ask(&order());
+    assert_eq!((reply.status, &reply.body[..]), (200, &b"placed 17"[..]));
+    executor.quiet_but_for(&site, "");
+}
+
+#[test]
+fn a_failed_keyed_run_is_not_run_again_and_its_tries_fail_too() {
+    let site = Site::start();
+    let mut executor = site.link();
+    let mut client = Client::connect(site.http);
+    let order = || Ask { key: Some("k2"), ..Ask::new("order") };
+    client.send(&order());
+    let exec = executor.next("EXEC");
+    executor.exit(&exec["job"], "FAIL", "");
+    assert_eq!(client.answer().status, 500);
+    assert_eq!(client.ask(&order()).status, 500);
+    executor.quiet_but_for(&site, "");
+}
+
+#[test]
+fn whatever_way_a_run_ends_it_has_one_answer() {
+    let site = Site::start();
+    let mut executor = site.link();
+    let mut client = Client::connect(site.http);
+    for end in ["KILLED", "NOOP", "FAIL", "BAD", "nonsense"] {
+        let id = name();
+        client.send(&Ask { id: &id, ..Ask::new("look") });
+        let exec = executor.next("EXEC");
+        match end {
+            "BAD" => executor.say(json!({"type": "BAD", "state": "EXEC", "job": exec["job"]})),
+            end => executor.exit(&exec["job"], end, ""),
+        }
+        // What comes for it once more, and what makes no sense at all, changes nothing.
+        executor.notice(json!({"type": "CALLOUT", "job": exec["job"], "data": ""}));
+        executor.exit(&exec["job"], "PASS", "late");
+        executor.say(json!({"type": 7}));
+        executor.say(json!({"type": "EXIT", "n": executor.n + 1}));
+        executor.n += 1;
+        assert_eq!(client.answer().status, 500, "{end}");
+        // The next answer on this connection is the next request's: no second one was given.
+        executor.quiet_but_for(&site, &id);
+    }
+}
+
+#[test]
+fn a_call_is_placed_and_its_reply_goes_back_unchanged() {
+    let site = Site::start();
+    let mut executor = site.link();
+    let mut client = Client::connect(site.http);
+    let mut records = None;
+    for reply in ["one", "two"] {
+        let id = name();
+        client.send(&Ask { id: &id, ..Ask::new("look") });
+        let exec = executor.next("EXEC");
+        executor.notice(json!({"type": "CALLOUT", "job": exec["job"], "data": encode("number?")}));
+        // The second call comes on the connection that the first one left.
+        let service = records.get_or_insert_with(|| Client::on(accept(&site.records)));
+        let (line, head, body) = service.message();
+        assert_eq!((line.as_str(), &body[..]), ("POST /records/op HTTP/1.1", &b"number?"[..]));
+        let head = Reply { status: 0, head, body };
+        assert_eq!(head.header("Op-Of"), Some(id.as_str()));
+        assert!(head.header("Op-Wait-Ms").unwrap().parse::<u64>().unwrap() <= 8000);
+        service.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{reply}", reply.len()));
+        let command = executor.next("RETURN");
+        assert_eq!((&command["job"], &command["data"]), (&json!(id), &json!(encode(reply))));
+        executor.exit(&exec["job"], "PASS", "done");
+        assert_eq!(client.answer().status, 200);
+    }
+}
+
+#[test]
+fn a_call_that_breaks_is_repeated_for_a_read_and_never_for_an_order() {
+    let site = Site::start();
+    let mut executor = site.link();
+    let mut client = Client::connect(site.http);
+    client.send(&Ask::new("look"));
+    let exec = executor.next("EXEC");
+    executor.notice(json!({"type": "CALLOUT", "job": exec["job"], "data": ""}));
+    let mut service = Client::on(accept(&site.records));
+    service.message();
+    drop(service);
+    let mut service = Client::on(accept(&site.records));
+    service.message();
+    service.write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    drop(service);
+    executor.next("RETURN");
+    executor.exit(&exec["job"], "PASS", "");
+    assert_eq!(client.answer().status, 200);
+
+    client.send(&Ask { key: Some("k3"), ..Ask::new("order") });
+    let exec = executor.next("EXEC");
+    executor.notice(json!({"type": "CALLOUT", "job": exec["job"], "data": ""}));
+    // Turned away with proof: it is made again. Broken: it may have had its effect.
+    let mut service = Client::on(accept(&site.records));
+    service.message();
+    service.write("HTTP/1.1 503 Busy\r\nOp-Not-Begun: 1\r\nContent-Length: 0\r\n\r\n");
+    service.message();
+    drop(service);
+    assert_eq!(client.answer().status, 500);
+    site.records.set_nonblocking(true).unwrap();
+    executor.exit(&exec["job"], "KILLED", "");
+    executor.quiet_but_for(&site, "");
+    assert!(site.records.accept().is_err(), "the call was made again");
+}
+
+#[test]
+fn while_the_records_service_is_down_a_read_has_its_answer_in_time() {
+    // A port that was free a moment ago refuses connections.
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let site = Site::with(|c| c["records"] = json!(gone), None);
+    let mut executor = site.link();
+    let mut client = Client::connect(site.http);
+    let id = name();
+    let ask = Ask { id: &id, deadline_ms: 1000, ..Ask::new("look") };
+    client.send(&ask);
+    let exec = executor.next("EXEC");
+    executor.notice(json!({"type": "CALLOUT", "job": exec["job"], "data": ""}));
+    let reply = client.answer();
+    assert!(matches!(reply.status, 503 | 504), "{reply:?}");
+    assert!(unix_ms() <= ask.arrived_ms + 1000 + 150, "answered late");
+    // Whether the worker skips the call at the last moment or not, it is free for the next.
+    executor.exit(&exec["job"], "KILLED", "");
+    client.send(&Ask::new("look"));
+    let next = std::iter::repeat_with(|| executor.command()).find(|c| c["type"] == "EXEC").unwrap();
+    executor.exit(&next["job"], "PASS", "");
+    assert_eq!(client.answer().status, 200);
+}
+
+#[test]
+fn a_lost_link_is_taken_up_where_it_broke_and_runs_nothing_twice() {
+    let site = Site::start();
+    let mut executor = site.link();
+    let (mut one, mut two) = (Client::connect(site.http), Client::connect(site.http));
+    one.send(&Ask::new("look"));
+    let first = executor.next("EXEC");
+    two.send(&Ask::new("look"));
+    let second = executor.next("EXEC");
+    executor.exit(&first["job"], "PASS", "first");
+    assert_eq!(one.answer().body, b"first");
+    drop(executor);
+
+    let mut executor = Executor::accept(&site.executor);
+    assert_eq!(executor.next("JOIN")["n"], 1);
+    executor.say(json!({"type": "WELCOME", "state": "LOADED", "took": 3_600_100.0}));
+    // Notice 1 again: it was dealt with. Then the end that came while there was no link.
+    executor.say(json!({"type": "EXIT", "n": 1, "job": second["job"], "state": "FAIL", "took": 1.0}));
+    executor.n = 1;
+    executor.exit(&second["job"], "PASS", "second");
+    let reply = two.answer();
+    assert_eq!((reply.status, &reply.body[..]), (200, &b"second"[..]));
+    executor.quiet_but_for(&site, second["job"].as_str().unwrap());
+}
+
+#[test]
+fn a_run_that_outlasts_its_time_is_answered_by_then_and_its_result_is_kept() {
+    let site = Site::start();
+    let mut executor = site.link();
+    let mut client = Client::connect(site.http);
+    // Half of its time has passed unread.
+    let arrived_ms = unix_ms() - 600;
+    client.send(&Ask { key: Some("k4"), deadline_ms: 1200, arrived_ms, ..Ask::new("order") });
+    let exec = executor.next("EXEC");
+    let reply = client.answer();
+    assert_eq!(reply.status, 504);
+    assert!(unix_ms() <= arrived_ms + 1200 + 150, "answered late");
+    executor.exit(&exec["job"], "PASS", "placed late");
+    let reply = client.ask(&Ask { key: Some("k4"), ..Ask::new("order") });
+    assert_eq!((reply.status, &reply.body[..]), (200, &b"placed late"[..]));
+}
+
+#[test]
+fn what_the_module_refuses_is_answered_at_once_with_advice() {
+    let site = Site::start();
+    let mut executor = site.link();
+    let asks: Vec<Client> = (0..40)
+        .map(|_| {
+            let mut client = Client::connect(site.http);
+            client.send(&Ask::new("look"));
+            client
+        })
+        .collect();
+    // Nothing ends, so most of these can't be started in time; they are told so long before they are due.
+    let sent = std::time::Instant::now();
+    let mut refused = 0;
+    for mut client in asks.into_iter().rev().take(10) {
+        let reply = client.answer();
+        if reply.status == 503 {
+            refused += 1;
+            assert!(reply.header("X-Pushback-Ms").unwrap().parse::<u64>().unwrap() > 0);
+        }
+    }
+    assert!(refused > 0);
+    assert!(sent.elapsed().as_millis() < 3000, "refusals were held back");
+    assert_eq!(executor.next("EXEC")["kind"], "look");
+}
+
+#[test]
+fn bad_requests_are_told_what_is_wrong_and_never_reach_the_core() {
+    let site = Site::start();
+    let mut executor = site.link();
+    let good = Ask::new("look").text();
+    let order = Ask { key: Some("k"), ..Ask::new("order") }.text();
+    for (text, status) in [
+        (good.replace("HTTP/1.1", "HTTP/9"), 400),
+        (good.replace("X-Org: acme\r\n", "X-Org: acme\r\nContent-Length: 5\r\n"), 400),
+        (good.replace("Content-Length: 5", "Content-Length: +5"), 400),
+        (good.replace("Content-Length: 5", "Transfer-Encoding: chunked"), 400),
+        (good.replace("X-Org: acme\r\n", ""), 400),
+        (good.replace("X-Org: acme", "X-Org: acme\r\nX-Org: acme"), 400),
+        (good.replace("X-Deadline-Ms: 8000", "X-Deadline-Ms: NaN"), 400),
+        (good.replace("X-Need-Kb: 24.5", "X-Need-Kb: 0"), 400),
+        (good.replace("X-Correlation-Id: ", "X-Correlation-Id: z"), 400),
+        (order.replace("X-Operation-Key: k\r\n", ""), 400),
+        (good.replace("X-Org: acme", "X-Org: other"), 403),
+        (good.replace("/do/look", "/do/nothing"), 404),
+        (good.replace("POST", "DELETE"), 405),
+        (good.replace("Content-Length: 5", "Content-Length: 3000"), 413),
+        (good.replace("Content-Length: 5", "Content-Length: 99999999999999999999999"), 413),
+        (good.replace("X-Org: acme", &format!("X-Org: {}", "a".repeat(9000))), 431),
+        (good.replace("X-Org: acme", &"X-Odd: 1\r\n".repeat(80)), 431),
+    ] {
+        let mut client = Client::connect(site.http);
+        client.write(&text);
+        let reply = client.answer();
+        assert_eq!(reply.status, status, "{text}");
+        assert_eq!(reply.header("Connection"), Some("close"));
+        assert!(client.closed(), "{text}");
+    }
+    executor.quiet_but_for(&site, "");
+}
+
+#[test]
+fn a_request_in_pieces_is_read_whole_and_half_of_one_is_none() {
+    let site = Site::start();
+    let mut executor = site.link();
+    let mut client = Client::connect(site.http);
+    let text = Ask { extra: "Expect: 100-continue\r\n", ..Ask::new("look") }.text();
+    let (head, body) = text.split_at(text.len() - 5);
+    for piece in head.as_bytes().chunks(40) {
+        client.write(std::str::from_utf8(piece).unwrap());
+    }
+    let mut line = [0; 25];
+    std::io::Read::read_exact(&mut client.reader, &mut line).unwrap();
+    assert_eq!(&line, b"HTTP/1.1 100 Continue\r\n\r\n");
+    client.write(body);
+    let exec = executor.next("EXEC");
+    executor.exit(&exec["job"], "PASS", "");
+    assert_eq!(client.answer().status, 200);
+
+    let mut half = Client::connect(site.http);
+    half.write(head);
+    drop(half);
+    executor.quiet_but_for(&site, "");
+}
+
+#[test]
+fn health_checks_follow_the_executor_and_the_notice() {
+    let site = Site::start();
+    let check = |path: &str| {
+        let mut client = Client::connect(site.http);
+        client.write(&format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n"));
+        client.answer().status
+    };
+    assert_eq!(check("/check"), 503);
+    let _executor = site.link();
+    assert_eq!((check("/check"), check("/check?e2e=1")), (200, 200));
+    site.terminate();
+    site.wait_beat("draining");
+    assert_eq!(check("/check"), 503);
+}
+
+#[test]
+fn a_drain_answers_all_and_runs_nothing_that_came_after_the_grace() {
+    let mut site = Site::start();
+    let mut executor = site.link();
+    let (mut held, mut late) = (Client::connect(site.http), Client::connect(site.http));
+    held.send(&Ask::new("look"));
+    let exec = executor.next("EXEC");
+    // A part of a request is there, so that this connection stays open when the door closes.
+    let text = Ask::new("look").text();
+    late.write(&text[..20]);
+    site.terminate();
+    site.wait_beat("draining");
+    let mut during = Client::connect(site.http);
+    during.send(&Ask::new("look"));
+    let second = executor.next("EXEC");
+    executor.exit(&second["job"], "PASS", "");
+    let reply = during.answer();
+    assert_eq!((reply.status, reply.header("Connection")), (200, Some("close")));
+    std::thread::sleep(std::time::Duration::from_millis(500));
+    let stamp = text.split("X-Arrived-Ms: ").nth(1).unwrap().split('\r').next().unwrap().to_owned();
+    late.write(&text[20..].replace(&stamp, &unix_ms().to_string()));
+    assert_eq!(late.answer().status, 503);
+    executor.exit(&exec["job"], "PASS", "kept");
+    let reply = held.answer();
+    assert_eq!((reply.status, &reply.body[..]), (200, &b"kept"[..]));
+    assert_eq!(reply.header("Connection"), Some("close"));
+    assert!(site.ended_well());
+}
+
+#[test]
+fn a_full_table_of_connections_makes_callers_wait_and_not_fail() {
+    let site = Site::with(|c| c["limits"]["sockets"] = json!(64), None);
+    let mut executor = site.link();
+    // More idle connections than the budget holds: the longest idle ones are closed for new callers.
+    let idle: Vec<Client> = (0..80).map(|_| Client::connect(site.http)).collect();
+    let mut client = Client::connect(site.http);
+    client.send(&Ask::new("look"));
+    let exec = executor.next("EXEC");
+    executor.exit(&exec["job"], "PASS", "served");
+    assert_eq!(client.answer().body, b"served");
+    drop(idle);
+}
+
+#[test]
+fn a_bad_configuration_is_one_line_and_a_bad_end() {
+    let run = |config: Option<&str>, operator: Option<&str>| {
+        let folder = std::env::temp_dir().join(format!("honeypost-bad-{}-{}", std::process::id(), name()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_honeypost"));
+        command.env_remove("ROUTER_CONFIG");
+        if let Some(text) = config {
+            std::fs::write(folder.join("c"), text).unwrap();
+            command.env("ROUTER_CONFIG", folder.join("c"));
+        }
+        if let Some(word) = operator {
+            command.arg(word);
+        }
+        let output = command.output().unwrap();
+        std::fs::remove_dir_all(&folder).unwrap();
+        (output.status.success(), String::from_utf8(output.stderr).unwrap())
+    };
+    for (config, operator, named) in [
+        (None, None, "ROUTER_CONFIG"),
+        (Some("{"), None, "EOF"),
+        (Some("{\"name\": \"n1\"}"), None, "listen"),
+        (None, Some("--what"), "usage"),
+    ] {
+        let (success, text) = run(config, operator);
+        assert!(!success && text.lines().count() == 1 && text.contains(named), "{text}");
+    }
+}
