--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod ajp_front;
 pub mod buffer;
 pub mod connections;
+pub mod directory;
 pub mod executor;
 pub mod fields;
 pub mod http_front;
@@ -18,10 +19,11 @@
 use crate::core::{Answer, Command, Core, Input, Ticket};
 use crate::interface::{Outcome, Settings};
 use ajp_backend::AjpBackend;
-use ajp_front::{AjpFront, Found};
+use ajp_front::AjpFront;
 use calloop::signals::{Signal, Signals};
 use calloop::timer::{TimeoutAction, Timer as LoopTimer};
 use calloop::{EventLoop, RegistrationToken};
+use directory::Directory;
 use executor::{Executor, Welcome};
 use fields::Catalogue;
 use http_front::HttpFront;
@@ -130,6 +132,7 @@
     idle_s: f64,
     http: HttpFront,
     ajp: Option<AjpFront>,
+    directory: Option<Directory>,
     /// Runs go to the executor, or to AJP servers where the operator names some.
     executor: Executor,
     servers: Option<AjpBackend>,
@@ -196,6 +199,7 @@
             }
             None => None,
         };
+        let directory = operator.directory.map(|settings| Directory::new(poll, settings));
         let servers = operator.backend.map(|settings| AjpBackend::new(poll, settings));
         let registry = match config.registry {
             Some(to) => Some(Registry::new(to, &config.name).map_err(|e| format!("registry {to}: {e}"))?),
@@ -229,6 +233,7 @@
             settings,
             http,
             ajp,
+            directory,
             executor,
             servers,
             registry,
@@ -252,6 +257,11 @@
                         a.connections.mark(id, readable, writable);
                     }
                 }
+                Place::Directory(id) => {
+                    if let Some(d) = &mut self.directory {
+                        d.mark(id, readable, writable);
+                    }
+                }
                 Place::AjpServer(id) => {
                     if let Some(s) = &mut self.servers {
                         s.mark(id, readable, writable);
@@ -263,7 +273,6 @@
                         r.mark(id, readable, writable);
                     }
                 }
-                _ => {}
             }
         }
         let mut inputs = Vec::new();
@@ -326,8 +335,14 @@
         if let Some(ajp) = &mut self.ajp {
             let mut lookups = Vec::new();
             paused |= ajp.gather(&self.clock, &self.state, inputs, &mut lookups, &mut self.log);
-            for lookup in lookups {
-                ajp.found(lookup.ticket, Found::Down, &self.clock, &self.state, inputs);
+            if let Some(directory) = &mut self.directory {
+                for lookup in lookups {
+                    directory.look_up(now, lookup, &mut self.wheel, &mut self.log);
+                }
+                directory.gather(now, &mut self.log);
+                for (ticket, found) in directory.take_found() {
+                    ajp.found(ticket, found, &self.clock, &self.state, inputs);
+                }
             }
         }
         if paused && !self.accept_timer {
@@ -398,6 +413,11 @@
                     s.due(now, number, inputs, &mut self.wheel, &mut self.log);
                 }
             }
+            Timer::Search(number) => {
+                if let Some(d) = &mut self.directory {
+                    d.due(now, number);
+                }
+            }
             Timer::Beat => {
                 self.beat(true);
                 self.wheel.set(now, BEAT_S, Timer::Beat);
@@ -473,6 +493,9 @@
 
     fn flush(&mut self, now: f64) {
         self.executor.flush(now, &mut self.log);
+        if let Some(d) = &mut self.directory {
+            d.flush(now, &mut self.log);
+        }
     }
 
     fn leave(&mut self, now: f64, inputs: &mut Vec<Input>) {
