Keep descriptors back for calls, and know an executor started anew by what was heard

A flood of callers could take the whole descriptor budget, so that calls found none (net/poll.rs KEPT_BACK). An executor's restart was judged by its start alone, which a late read of WELCOME moves (net/executor.rs).

--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -136,10 +136,9 @@
             let stream = match acceptor.accept(taken) {
                 Accepted::Stream(stream) => stream,
                 Accepted::Nobody => return false,
-                Accepted::Pause => {
-                    self.close_longest_idle();
-                    return true;
-                }
+                // An idle connection may be closed at any time: whoever waits is worth more.
+                Accepted::Pause if !self.poll.room_for_caller() && self.close_longest_idle() => continue,
+                Accepted::Pause => return true,
             };
             let id = self.poll.fresh();
             if stream.set_nonblocking(true).is_err() {
@@ -154,12 +153,11 @@
         false
     }
 
-    /// Makes room for a caller that waits: an idle connection may be closed at any time.
-    fn close_longest_idle(&mut self) {
-        let idle = self.all.iter().filter(|(_, c)| c.stage == Stage::Idle);
-        if let Some(id) = idle.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(id, _)| *id) {
-            self.all.remove(&id);
-        }
+    /// `false` where none is idle, or none but what has just been accepted and not yet looked at.
+    fn close_longest_idle(&mut self) -> bool {
+        let idle = self.all.iter().filter(|(id, c)| c.stage == Stage::Idle && !self.touched.contains(id));
+        let longest = idle.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(id, _)| *id);
+        longest.is_some_and(|id| self.all.remove(&id).is_some())
     }
 
     /// Closes what has been idle for long, and peers that are too slow to send or to read.
--- a/src/net/executor.rs
+++ b/src/net/executor.rs
@@ -25,9 +25,6 @@
 const RELINK_S: (f64, f64) = (0.02, 0.5);
 /// Gauges older than this say nothing any more (seconds).
 const GAUGES_KEEP_S: f64 = 0.5;
-/// An executor whose start lies this much after the one known is another one (seconds).
-const RESTARTED_S: f64 = 2.0;
-
 #[derive(Serialize)]
 #[serde(tag = "type", rename_all = "UPPERCASE")]
 enum Order<'a> {
@@ -72,6 +69,8 @@
     waiting: Vec<Vec<u8>>,
     waiting_bytes: usize,
     last: u64,
+    /// When it last said anything, on the loop's clock.
+    heard: f64,
     welcome: Option<Welcome>,
     gauge_names: Vec<String>,
     gauges: Option<(f64, Gauges)>,
@@ -90,6 +89,7 @@
             waiting: Vec::new(),
             waiting_bytes: 0,
             last: 0,
+            heard: 0.0,
             welcome: None,
             gauge_names,
             gauges: None,
@@ -176,6 +176,7 @@
             }
             for notice in news {
                 self.take(now, notice, inputs, log);
+                self.heard = now;
             }
             if full {
                 return self.lose(now, "a line has no end", log);
@@ -202,12 +203,15 @@
             ("WELCOME", _) => {
                 self.pause_s = RELINK_S.0;
                 let started = now - news.took.filter(|t| t.is_finite()).unwrap_or(0.0) / 1000.0;
-                let known = self.welcome.map(|w| w.started);
-                if known.is_some_and(|at| started > at + RESTARTED_S) {
+                // One that started after the last word heard is another one. Its start alone tells too little:
+                // a welcome that is read late makes it look later than it was.
+                let another = self.welcome.is_some() && started > self.heard;
+                if another {
                     log.line("executor: it has been started anew; its runs are lost");
                     inputs.push(Input::RunsLost);
+                    self.last = 0;
                 }
-                if known.map_or(true, |at| started > at + RESTARTED_S) {
+                if another || self.welcome.is_none() {
                     self.welcome = Some(Welcome { cold: state == "EMPTY", started });
                 }
             }
--- a/src/net/poll.rs
+++ b/src/net/poll.rs
@@ -16,6 +16,8 @@
 pub const EINPROGRESS: i32 = 115;
 /// Connections accepted in one turn at most, so that a flood of them leaves time for the rest.
 const ACCEPTS: usize = 64;
+/// Descriptors of the budget that callers can't take: else a flood of them would leave none for calls and links.
+const KEPT_BACK: usize = 24;
 /// How long accepting rests when the system has no descriptor left (seconds).
 pub const ACCEPT_PAUSE_S: f64 = 0.1;
 
@@ -67,6 +69,11 @@
         self.left.get() > 0
     }
 
+    /// Whether the budget allows one more caller.
+    pub fn room_for_caller(&self) -> bool {
+        self.left.get() > KEPT_BACK
+    }
+
     /// A number that no other connection, call or search has had.
     pub fn fresh(&self) -> u64 {
         self.next.set(self.next.get() + 1);
@@ -152,7 +159,7 @@
         if !self.waiting {
             return Accepted::Nobody;
         }
-        if taken >= ACCEPTS || !self.poll.room() {
+        if taken >= ACCEPTS || !self.poll.room_for_caller() {
             return Accepted::Pause;
         }
         loop {
