Do not wait for a dependency that is down where the call can be left out

Cause: brain.rs call_ended counted Unreachable as a short call and asked again at once while time was left; on sockets a refused connection comes back within a millisecond.

Now what keeps a part of its worth goes on without the call at once, and the rest pauses as it does when turned away.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -210,8 +210,7 @@
         counts.into_iter().for_each(|n| *n *= fade);
         self.swamped &= self.unread > SWAMPED / 4.0 * (self.read + 1.0);
     }
-    /// Reading lags (slow host, flood, cold start): callers are sent away until it is gone. Harm: to the
-    /// others.
+    /// Reading lags (slow host, flood, cold start): callers are sent away until it is gone. Harm: to others.
     fn has_read(&mut self, unread: f64, aim: f64) {
         self.unread += unread / aim.max(SWEEP_S);
         self.read += 1.0;
@@ -588,8 +587,7 @@
     }
 
     /// How long to stay away: half the time that what is held takes to start; the longest while not well. In
-    /// a full fleet half the time to a caller's next try, unless that is far off and would only delay
-    /// clients.
+    /// a full fleet half the time to a caller's next try, unless far off: it would only delay clients.
     fn advice(&self, tier: Tier) -> f64 {
         let (most, next) =
             (self.set.max_advice_s, f64::from(self.set.callers) / 2.0 / self.inflow.iter().sum::<f64>());
@@ -753,13 +751,15 @@
 
     fn call_ended(&mut self, id: RequestId, outcome: Outcome, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id).filter(|r| r.stage == Stage::Calling) else { return };
-        // A call is repeated only if that is safe, or if the earlier one is known not to have run.
+        // A call is repeated only if that is safe, or if the earlier one is known not to have run. What can
+        // do without it does not wait for a dependency that is down: it would stand there until nobody waits.
         let unseen = matches!(outcome, Outcome::Full | Outcome::Unreachable);
         let again = unseen || self.class(r.class).effect == Effect::Safe;
-        let hopeful = !r.settled && r.ends - self.now > self.call_bound.length();
+        let down = outcome == Outcome::Unreachable && self.class(r.class).skipped_worth > 0.0;
+        let hopeful = !r.settled && !down && r.ends - self.now > self.call_bound.length();
         let given_up = self.set.dependency.iter().filter(|_| outcome == Outcome::TimedOut);
         self.lingering.extend(given_up.map(|d| self.now + d.linger_s));
-        if outcome == Outcome::Full {
+        if unseen {
             self.call_bound.turned_away(self.now);
         } else {
             self.call_bound.ended += 1.0;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -353,6 +353,27 @@
     }
 }
 
+/// A read stood at its refused call, asking again without end, until it was due and worth nothing.
+#[test]
+fn a_dependency_that_is_down_is_not_waited_for_by_what_can_go_without_it() {
+    let mut set = with_calls(4.0);
+    set.classes[0].skipped_worth = 0.6;
+    set.classes[1] = Class { effect: Effect::Keyed, window_s: 9.0, calls: true, ..set.classes[0].clone() };
+    set.classes[1].skipped_worth = 0.0;
+    let mut b = Bench::new(set);
+    b.arrive(1, 0);
+    b.arrive(2, 1);
+    b.tell(Event::AtCall(RequestId(1)));
+    b.tell(Event::AtCall(RequestId(2)));
+    b.now = 0.1;
+    let out = b.tell(Event::CallEnded { id: RequestId(1), outcome: Outcome::Unreachable });
+    assert!(out.contains(&Action::SkipCall(RequestId(1))), "{out:?}");
+    // What can't go without it is neither answered nor asked for again at once; it is after a pause.
+    let out = b.tell(Event::CallEnded { id: RequestId(2), outcome: Outcome::Unreachable });
+    assert!(calls_made(&out) == 0 && !answered(&out, 2), "{out:?}");
+    assert_eq!(calls_made(&b.pass(1.0, 0.5)), 1);
+}
+
 /// regina and kingston count worth by work: large requests were planned as mean ones and started too late.
 #[test]
 fn a_hint_that_ends_bear_out_plans_the_run_and_one_that_tells_nothing_does_not() {
