--- a/tests/http.rs
+++ b/tests/http.rs
@@ -26,6 +26,24 @@
     }
 }
 
+#[test]
+fn the_first_run_after_a_start_is_not_taken_for_hung() {
+    // The executor has been up for an hour, and the worker for a moment.
+    let site = Site::start();
+    let mut executor = site.link();
+    let mut client = Client::connect(site.http);
+    client.send(&Ask::new("look"));
+    let exec = executor.next("EXEC");
+    for _ in 0..10 {
+        std::thread::sleep(std::time::Duration::from_millis(20));
+        let mut check = Client::connect(site.http);
+        check.write("GET /check HTTP/1.1\r\n\r\n");
+        assert_eq!(check.answer().status, 200);
+    }
+    executor.exit(&exec["job"], "PASS", "");
+    assert_eq!(client.answer().status, 200);
+}
+
 #[test]
 fn a_key_is_run_once_and_every_try_gets_the_stored_bytes() {
     let site = Site::start();
