--- a/src/brain.rs
+++ b/src/brain.rs
@@ -56,8 +56,7 @@
 const SINK: f64 = 0.25;
 const CREEP: f64 = 0.005;
 /// A worker is sick when this share of its recent runs failed, and so many at least, or none ended in the
-/// core time of so many; recent fades over this time (seconds). Swamped: reads lay unread for this share of
-/// an aim.
+/// core time of so many; recent fades over this time (s). Swamped: reads lay unread for this part of an aim.
 const SICK_SHARE: f64 = 0.3;
 const SICK_LEAST: f64 = 3.0;
 const SICK_STUCK: f64 = 20.0;
@@ -392,8 +391,10 @@
             let state = if self.well { "well again" } else { bad[usize::from(sick)] };
             out.push(Action::Log(state.to_owned()));
         }
-        let bad = sick || swamped && !self.fleet_full(); // Else the workers left would drown.
-        if bad == self.fit && (bad || self.well) {
+        // Off the list nobody sends: after a rest without runs a sick worker shows itself to be tried.
+        let rested = self.running() == 0 && self.now - self.sickness.last_end > SICK_MEMORY_S;
+        let bad = sick && !rested || swamped && !self.fleet_full(); // Else the workers left would drown.
+        if bad == self.fit && (bad || self.well || sick) {
             self.fit = !bad;
             out.push(Action::Health(self.fit));
         }
@@ -729,8 +730,7 @@
 
     fn run_ended(&mut self, id: RequestId, outcome: Outcome) {
         let Some(r) = self.requests.get(&id) else { return };
-        // Too late: it had gone before it could start; its slot is free again. A stopped run took its time on
-        // the cores, but says nothing of health.
+        // Too late: it never started. A stopped run took its time on the cores, but says nothing of health.
         if r.stage == Stage::Running && outcome != Outcome::TooLate {
             self.pace[r.class].has_ended(r.hint, r.on_cores + self.now - r.since);
             if outcome != Outcome::Stopped {
@@ -751,8 +751,8 @@
 
     fn call_ended(&mut self, id: RequestId, outcome: Outcome, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id).filter(|r| r.stage == Stage::Calling) else { return };
-        // A call is repeated only if that is safe, or if the earlier one is known not to have run. What can
-        // do without it does not wait for a dependency that is down: it would stand there until nobody waits.
+        // A call is repeated only if that is safe or the earlier one never ran. What can do without it
+        // does not wait for a dependency that is down: it would stand there until nobody waits.
         let unseen = matches!(outcome, Outcome::Full | Outcome::Unreachable);
         let again = unseen || self.class(r.class).effect == Effect::Safe;
         let down = outcome == Outcome::Unreachable && self.class(r.class).skipped_worth > 0.0;
--- a/src/config.rs
+++ b/src/config.rs
@@ -479,4 +479,20 @@
         }
         assert!(Operator::decode("", &config).unwrap().ajp.is_none());
     }
+
+    #[test]
+    fn the_files_that_come_with_the_program_are_good() {
+        let config = Config::decode(include_str!("../examples/config.json")).unwrap();
+        let text = include_str!("../deploy/ajp.toml");
+        let operator = Operator::decode(text, &config).unwrap();
+        assert!(operator.ajp.is_some() && operator.backend.is_none() && operator.directory.is_none());
+        // The parts that are shown switched off are good as well.
+        let on: String = text
+            .lines()
+            .map(|l| l.strip_prefix('#').filter(|r| !r.starts_with(' ')).unwrap_or(l))
+            .fold(String::new(), |all, line| all + line + "\n");
+        let operator = Operator::decode(&on, &config).unwrap();
+        assert_eq!(operator.backend.unwrap().uri_of("port-submit"), "/porting/submit");
+        assert_eq!(operator.directory.unwrap().identity, Identity::RemoteUser);
+    }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -42,6 +42,8 @@
 /// long before the stop the process ends at the latest.
 const CROSSING_S: f64 = 0.15;
 const STOP_MARGIN_S: f64 = 0.05;
+/// The door closes this long before the stop at the latest, where the grace reaches beyond it (seconds).
+const CLOSE_MARGIN_S: f64 = 0.4;
 /// Kept results may take one part in so many of the memory limit.
 const RESULT_PART: f64 = 8.0;
 /// What callers are told when the executor is not up yet (seconds).
@@ -505,6 +507,10 @@
         let in_s = self.config.stop_ms / 1000.0;
         self.log.line(&format!("notice to leave; {in_s} s to the stop"));
         self.leaving = Some(Leaving { notice: now, stop: now + in_s, closed: None });
+        // The loop must look at the door, at the end and at the stop even if nothing else wakes it.
+        for after in [self.settings.leave_grace_s, in_s - CLOSE_MARGIN_S, in_s - STOP_MARGIN_S] {
+            self.wheel.set(now, after, Timer::Again);
+        }
         self.state.leaving = true;
         inputs.push(Input::Leave { in_s });
         self.beat(false);
@@ -521,7 +527,8 @@
     fn follow_leaving(&mut self) {
         let now = self.clock.now();
         let grace_s = self.settings.leave_grace_s;
-        let closes = |l: &Leaving| l.closed.is_none() && now >= l.notice + grace_s;
+        let closes =
+            |l: &Leaving| l.closed.is_none() && now >= (l.notice + grace_s).min(l.stop - CLOSE_MARGIN_S);
         if let Some(leaving) = self.leaving.as_mut().filter(|l| closes(l)) {
             leaving.closed = Some(now);
             self.http.connections.stop_listening();
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -477,6 +477,27 @@
     panic!("never well again");
 }
 
+/// Two of three workers went sick at their start; off the list nobody sent them anything, and they stayed so all day.
+#[test]
+fn a_sick_worker_that_nobody_sends_to_shows_itself_again_after_a_rest() {
+    let mut b = Bench::new(settings());
+    let mut said = Vec::new();
+    for id in 1..=8 {
+        b.now += 0.02;
+        b.arrive(id, 0);
+        said.extend(b.end(id, Outcome::Error));
+    }
+    assert!(said.contains(&Action::Health(false)));
+    assert!(!b.pass(1.5, 0.1).contains(&Action::Health(true)), "too soon");
+    assert!(b.pass(1.0, 0.1).contains(&Action::Health(true)));
+    // Shown, not well: one run is tried, the rest is still sent away, and a bad end hides it again.
+    let kept: Vec<u64> = (20..25).filter(|&id| !refused(&b.arrive(id, 0), id)).collect();
+    assert_eq!(kept, vec![20]);
+    b.now += 0.1;
+    b.end(20, Outcome::Error);
+    assert!(!b.pass(1.5, 0.1).contains(&Action::Health(true)));
+}
+
 #[test]
 fn a_hung_worker_says_so_but_long_calls_are_no_hang() {
     let mut b = Bench::new(settings());
