Bound what one connection may do in a turn

A peer that pipelines health checks or CPINGs without end could keep the loop to itself: both fronts looked at a connection until it had nothing more to say. Now 32 steps, then the others have their turn (net/connections.rs STEPS_MOST). Read, not seen.

--- a/src/net/ajp_front.rs
+++ b/src/net/ajp_front.rs
@@ -2,7 +2,7 @@
 
 use super::ajp::{self, Forward, ToContainer, Way, BODY_CHUNK_MOST, PACKET_MOST, REPLY_CHUNK_MOST};
 use super::buffer::Filled;
-use super::connections::{Connection, Connections, Stage};
+use super::connections::{Connection, Connections, Stage, STEPS_MOST};
 use super::fields::{Fault, Fields, BODY_MOST};
 use super::poll::{Place, Poll};
 use super::{Clock, Log, State};
@@ -97,7 +97,7 @@
         log: &mut Log,
     ) {
         let now = clock.now();
-        loop {
+        for _ in 0..STEPS_MOST {
             let Some(c) = self.connections.get_mut(id) else { return };
             if c.link.flush().is_err() {
                 return self.connections.close(id);
@@ -197,6 +197,7 @@
                 }
             }
         }
+        self.connections.touch(id);
     }
 
     fn body_came(
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -11,6 +11,9 @@
 const SLOW_ANSWER_S: f64 = 10.0;
 const LINGER_S: f64 = 1.0;
 
+/// Steps that one connection may take in a turn: a peer that sends without end must not keep the loop to itself.
+pub const STEPS_MOST: usize = 32;
+
 /// Where a connection is; one request at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
--- a/src/net/http_front.rs
+++ b/src/net/http_front.rs
@@ -1,7 +1,7 @@
 //! The platform's front: HTTP/1.1, one request at a time on a connection, and health checks.
 
 use super::buffer::Filled;
-use super::connections::{Connections, Stage};
+use super::connections::{Connections, Stage, STEPS_MOST};
 use super::fields::{Catalogue, Fault, Fields, BODY_MOST};
 use super::poll::{Place, Poll};
 use super::{Clock, State};
@@ -60,7 +60,7 @@
     fn look(&mut self, id: u64, clock: &Clock, state: &State, inputs: &mut Vec<Input>) {
         let Some(c) = self.connections.get_mut(id) else { return };
         let now = clock.now();
-        loop {
+        for _ in 0..STEPS_MOST {
             if c.link.flush().is_err() {
                 self.connections.close(id);
                 return;
@@ -143,6 +143,7 @@
                 }
             }
         }
+        self.connections.touch(id);
     }
 
     /// Writes an answer of the core.
