Close the longest idle connection also when the system has no descriptor left

What the fronts share in walking a connection's stages is in connections.rs, what the two pools share in pool.rs; no behaviour changes.

--- a/src/net/ajp_backend.rs
+++ b/src/net/ajp_backend.rs
@@ -8,6 +8,7 @@
 use super::buffer::{Filled, Link};
 use super::fields::Catalogue;
 use super::poll::{Place, Poll};
+use super::pool::{full, take_idle, Kept, IDLE_MOST};
 use super::wheel::{Timer, Wheel};
 use super::Log;
 use crate::config::ServerSettings;
@@ -24,7 +25,6 @@
 /// A server's answer may be this long (bytes).
 const RESULT_MOST: usize = 64 * 1024;
 const IDLE_KEEP_S: f64 = 30.0;
-const IDLE_MOST: usize = 16;
 
 struct Run {
     /// Changes with each timer that is set for the run; an old timer finds nothing.
@@ -50,6 +50,16 @@
     idle_since: f64,
 }
 
+impl Kept for Connection {
+    fn link(&mut self) -> &mut Link {
+        &mut self.link
+    }
+
+    fn idle_since(&self) -> Option<f64> {
+        (self.run.is_none() && self.connected).then_some(self.idle_since)
+    }
+}
+
 /// The servers, and the runs in their hands.
 pub struct AjpBackend {
     settings: ServerSettings,
@@ -102,7 +112,7 @@
         run.tries += 1;
         run.mark = None;
         // Kept connections may all be stale: beyond them each server is tried once.
-        let idle = self.idle(now);
+        let idle = take_idle(&mut self.connections, now, IDLE_KEEP_S);
         let id = match idle {
             Some(id) => id,
             None if run.tries <= self.settings.servers.len() + IDLE_MOST => match self.open(now) {
@@ -129,19 +139,6 @@
         }
     }
 
-    fn idle(&mut self, now: f64) -> Option<u64> {
-        loop {
-            let free = self.connections.iter().filter(|(_, c)| c.run.is_none() && c.connected);
-            let id = *free.max_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since))?.0;
-            let c = self.connections.get_mut(&id)?;
-            let sound = c.link.fill() == Filled::Open && c.link.data().is_empty();
-            if sound && now - c.idle_since < IDLE_KEEP_S {
-                return Some(id);
-            }
-            self.connections.remove(&id);
-        }
-    }
-
     fn open(&mut self, now: f64) -> Option<u64> {
         let servers: &[SocketAddr] = &self.settings.servers;
         let to = *servers.get(self.next % servers.len().max(1))?;
@@ -242,8 +239,7 @@
             } else if let Some(reuse) = end {
                 (c.used, c.idle_since) = (true, now);
                 let run = c.run.take();
-                let idle = self.connections.values().filter(|c| c.run.is_none()).count();
-                if !reuse || idle > IDLE_MOST {
+                if !reuse || full(&self.connections) {
                     self.connections.remove(&id);
                 }
                 if let Some(run) = run {
--- a/src/net/ajp_front.rs
+++ b/src/net/ajp_front.rs
@@ -2,7 +2,7 @@
 
 use super::ajp::{self, Forward, ToContainer, Way, BODY_CHUNK_MOST, PACKET_MOST, REPLY_CHUNK_MOST};
 use super::buffer::Filled;
-use super::connections::{Connection, Connections, Stage, STEPS_MOST};
+use super::connections::{Connection, Connections, Next, Stage, STEPS_MOST};
 use super::fields::{Fault, Fields, BODY_MOST};
 use super::poll::{Place, Poll};
 use super::{Clock, Log, State};
@@ -28,6 +28,15 @@
 #[derive(Default)]
 pub struct Memory(Option<Pending>);
 
+/// What a turn lends the front.
+pub struct Turn<'a> {
+    pub clock: &'a Clock,
+    pub state: &'a State,
+    pub inputs: &'a mut Vec<Input>,
+    pub lookups: &'a mut Vec<Lookup>,
+    pub log: &'a mut Log,
+}
+
 /// A portal whose tenant the directory must tell.
 #[derive(Debug, PartialEq)]
 pub struct Lookup {
@@ -72,58 +81,23 @@
     }
 
     /// Accepts and reads; `true` if accepting had to be broken off and wants another look.
-    pub fn gather(
-        &mut self,
-        clock: &Clock,
-        state: &State,
-        inputs: &mut Vec<Input>,
-        lookups: &mut Vec<Lookup>,
-        log: &mut Log,
-    ) -> bool {
-        let paused = self.connections.accept(clock.now());
+    pub fn gather(&mut self, turn: &mut Turn) -> bool {
+        let paused = self.connections.accept(turn.clock.now());
         for id in self.connections.take_touched() {
-            self.look(id, clock, state, inputs, lookups, log);
+            self.look(id, turn);
         }
         paused
     }
 
-    fn look(
-        &mut self,
-        id: u64,
-        clock: &Clock,
-        state: &State,
-        inputs: &mut Vec<Input>,
-        lookups: &mut Vec<Lookup>,
-        log: &mut Log,
-    ) {
-        let now = clock.now();
+    fn look(&mut self, id: u64, turn: &mut Turn) {
+        let now = turn.clock.now();
         for _ in 0..STEPS_MOST {
             let Some(c) = self.connections.get_mut(id) else { return };
-            if c.link.flush().is_err() {
-                return self.connections.close(id);
-            }
-            match c.stage {
-                Stage::Asked => return,
-                Stage::Answering if c.link.queued() > 0 => return,
-                Stage::Answering if c.close => {
-                    c.link.end_writing();
-                    c.step(now, Stage::Closing);
-                    continue;
-                }
-                Stage::Answering => c.step(now, Stage::Idle),
-                Stage::Closing => {
-                    let filled = c.link.fill();
-                    let n = c.link.data().len();
-                    c.link.consume(n);
-                    if filled != Filled::Open {
-                        return self.connections.close(id);
-                    }
-                    if n == 0 {
-                        return;
-                    }
-                    continue;
-                }
-                Stage::Idle | Stage::Reading => {}
+            match c.settle(now) {
+                Next::Read => {}
+                Next::Wait => return,
+                Next::Later => break,
+                Next::Close => return self.connections.close(id),
             }
             let filled = c.link.fill();
             if c.stage == Stage::Idle && !c.link.data().is_empty() {
@@ -136,7 +110,7 @@
                 Ok(None) => return,
                 // After a wrong magic or length there is no telling where a message begins.
                 Err(bad) => {
-                    log.line(&format!("ajp: closed for a bad packet: {bad:?}"));
+                    turn.log.line(&format!("ajp: closed for a bad packet: {bad:?}"));
                     return self.connections.close(id);
                 }
             };
@@ -144,7 +118,7 @@
             if c.memory.0.is_some() {
                 let chunk = c.link.data().get(range).map(ajp::body);
                 let Some(Ok(chunk)) = chunk else {
-                    log.line("ajp: closed for a bad body packet");
+                    turn.log.line("ajp: closed for a bad body packet");
                     return self.connections.close(id);
                 };
                 let (ended, room) = (chunk.is_empty(), BODY_MOST + BODY_CHUNK_MOST);
@@ -152,13 +126,13 @@
                     p.body.extend_from_slice(chunk);
                 }
                 c.link.consume(consumed);
-                self.body_came(id, ended, clock, state, inputs, lookups);
+                self.body_came(id, ended, turn);
                 continue;
             }
             let message = c.link.data().get(range).map(ajp::to_container);
             let pending = match message {
                 Some(Ok(ToContainer::Forward(f))) => {
-                    head(&self.settings, self.directory, &f, state, clock.unix_ms())
+                    head(&self.settings, self.directory, &f, turn.state, turn.clock.unix_ms())
                 }
                 Some(Ok(ToContainer::CPing)) => {
                     c.link.push(ajp::write_cpong());
@@ -173,7 +147,7 @@
                     continue;
                 }
                 _ => {
-                    log.line("ajp: closed for a message that can't be read");
+                    turn.log.line("ajp: closed for a message that can't be read");
                     return self.connections.close(id);
                 }
             };
@@ -187,28 +161,20 @@
                     }
                     c.memory.0 = Some(p);
                     if done {
-                        self.whole(id, clock, state, inputs, lookups);
+                        self.whole(id, turn);
                     }
                 }
                 Err(reject) => {
                     // Its body, if it has one, may be on its way: the connection can't be used again.
                     c.close = true;
-                    answer(c, now, reject.0, reject.1, &[], None, state);
+                    answer(c, now, reject.0, reject.1, &[], None, turn.state);
                 }
             }
         }
         self.connections.touch(id);
     }
 
-    fn body_came(
-        &mut self,
-        id: u64,
-        ended: bool,
-        clock: &Clock,
-        state: &State,
-        inputs: &mut Vec<Input>,
-        lookups: &mut Vec<Lookup>,
-    ) {
+    fn body_came(&mut self, id: u64, ended: bool, turn: &mut Turn) {
         let Some(c) = self.connections.get_mut(id) else { return };
         let Some(p) = &c.memory.0 else { return };
         let have = p.body.len();
@@ -222,11 +188,11 @@
         if let Some(reject) = reject {
             c.memory.0 = None;
             c.close = true;
-            return answer(c, clock.now(), reject.0, reject.1, &[], None, state);
+            return answer(c, turn.clock.now(), reject.0, reject.1, &[], None, turn.state);
         }
         match p.length {
-            Some(n) if have == n => self.whole(id, clock, state, inputs, lookups),
-            None if ended => self.whole(id, clock, state, inputs, lookups),
+            Some(n) if have == n => self.whole(id, turn),
+            None if ended => self.whole(id, turn),
             length => {
                 let wanted = length.map_or(BODY_CHUNK_MOST, |n| (n - have).min(BODY_CHUNK_MOST));
                 c.link.push(ajp::write_get_body(wanted as u16));
@@ -235,14 +201,7 @@
     }
 
     /// The last byte is here: the directory is asked first where it must be, else the core.
-    fn whole(
-        &mut self,
-        id: u64,
-        clock: &Clock,
-        state: &State,
-        inputs: &mut Vec<Input>,
-        lookups: &mut Vec<Lookup>,
-    ) {
+    fn whole(&mut self, id: u64, turn: &mut Turn) {
         let Some(c) = self.connections.get_mut(id) else { return };
         let Some(p) = &mut c.memory.0 else { return };
         if p.fields.id.is_none() {
@@ -250,47 +209,40 @@
             p.fields.id = Some(name(self.seed, self.named).into());
         }
         let identity = p.identity.take();
-        let for_s = p.fields.time_left(p.class, &state.known, clock);
-        c.step(clock.now(), Stage::Asked);
+        let for_s = p.fields.time_left(p.class, &turn.state.known, turn.clock);
+        c.step(turn.clock.now(), Stage::Asked);
         if let Some(identity) = identity {
-            lookups.push(Lookup { ticket: Ticket(id), identity, for_s });
+            turn.lookups.push(Lookup { ticket: Ticket(id), identity, for_s });
             return;
         }
-        self.ask(id, clock, state, inputs);
+        self.ask(id, turn);
     }
 
-    fn ask(&mut self, id: u64, clock: &Clock, state: &State, inputs: &mut Vec<Input>) {
+    fn ask(&mut self, id: u64, turn: &mut Turn) {
         let Some(c) = self.connections.get_mut(id) else { return };
         let Some(p) = c.memory.0.take() else { return };
-        let request = p.fields.request(Ticket(id), p.class, p.tenant, &p.body, &state.known, clock);
+        let request = p.fields.request(Ticket(id), p.class, p.tenant, &p.body, &turn.state.known, turn.clock);
         match request {
-            Ok(request) => inputs.push(Input::Arrived(request)),
+            Ok(request) => turn.inputs.push(Input::Arrived(request)),
             Err(fault) => {
                 let Reject(code, why) = reject(fault);
-                answer(c, clock.now(), code, why, &[], None, state);
+                answer(c, turn.clock.now(), code, why, &[], None, turn.state);
                 self.connections.touch(id);
             }
         }
     }
 
     /// Takes the directory's word on the tenant of a request.
-    pub fn found(
-        &mut self,
-        ticket: Ticket,
-        found: Found,
-        clock: &Clock,
-        state: &State,
-        inputs: &mut Vec<Input>,
-    ) {
+    pub fn found(&mut self, ticket: Ticket, found: Found, turn: &mut Turn) {
         let Some(c) = self.connections.get_mut(ticket.0) else { return };
         let tenant = match &found {
-            Found::Tenant(name) => state.known.tenant(name),
+            Found::Tenant(name) => turn.state.known.tenant(name),
             _ => None,
         };
         let (code, why) = match (&found, tenant, &mut c.memory.0) {
             (_, Some(tenant), Some(p)) => {
                 p.tenant = Some(tenant);
-                return self.ask(ticket.0, clock, state, inputs);
+                return self.ask(ticket.0, turn);
             }
             (Found::Down, ..) => (503, "the directory is down"),
             (Found::OutOfTime, ..) => (504, "the directory has not answered in time"),
@@ -298,7 +250,7 @@
         };
         c.memory.0 = None;
         let extra = if code == 503 { vec![("Retry-After", "1".to_owned())] } else { Vec::new() };
-        answer(c, clock.now(), code, why, &extra, None, state);
+        answer(c, turn.clock.now(), code, why, &extra, None, turn.state);
         self.connections.touch(ticket.0);
     }
 
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -1,6 +1,6 @@
 //! What all fronts share: accepting, the stages of a connection, and closing what is idle or too slow.
 
-use super::buffer::Link;
+use super::buffer::{Filled, Link};
 use super::poll::{Accepted, Acceptor, Place, Poll};
 use std::collections::HashMap;
 use std::io;
@@ -39,7 +39,52 @@
     pub memory: P,
 }
 
+/// What a connection is to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Take its next request.
+    Read,
+    /// Wait for an event, or for the core.
+    Wait,
+    /// Go on with it after the others.
+    Later,
+    /// It is over.
+    Close,
+}
+
 impl<P> Connection<P> {
+    /// Writes what can be written, and walks the stages that are the same on every front.
+    pub fn settle(&mut self, now: f64) -> Next {
+        for _ in 0..STEPS_MOST {
+            if self.link.flush().is_err() {
+                return Next::Close;
+            }
+            match self.stage {
+                // One request at a time: what comes meanwhile waits in the buffer, then with the system.
+                Stage::Asked => return Next::Wait,
+                Stage::Answering if self.link.queued() > 0 => return Next::Wait,
+                Stage::Answering if self.close => {
+                    self.link.end_writing();
+                    self.step(now, Stage::Closing);
+                }
+                Stage::Answering => self.step(now, Stage::Idle),
+                Stage::Closing => {
+                    let filled = self.link.fill();
+                    let n = self.link.data().len();
+                    self.link.consume(n);
+                    if filled != Filled::Open {
+                        return Next::Close;
+                    }
+                    if n == 0 {
+                        return Next::Wait;
+                    }
+                }
+                Stage::Idle | Stage::Reading => return Next::Read,
+            }
+        }
+        Next::Later
+    }
+
     pub fn step(&mut self, now: f64, stage: Stage) {
         (self.stage, self.since) = (stage, now);
     }
@@ -140,8 +185,9 @@
                 Accepted::Stream(stream) => stream,
                 Accepted::Nobody => return false,
                 // An idle connection may be closed at any time: whoever waits is worth more.
-                Accepted::Pause if !self.poll.room_for_caller() && self.close_longest_idle() => continue,
-                Accepted::Pause => return true,
+                Accepted::Full if self.close_longest_idle() => continue,
+                // Guards against spinning: whoever waits stays there, so the next try is left to a timer.
+                Accepted::Full | Accepted::Pause => return true,
             };
             let id = self.poll.fresh();
             if stream.set_nonblocking(true).is_err() {
--- a/src/net/http_front.rs
+++ b/src/net/http_front.rs
@@ -1,7 +1,7 @@
 //! The platform's front: HTTP/1.1, one request at a time on a connection, and health checks.
 
 use super::buffer::Filled;
-use super::connections::{Connections, Stage, STEPS_MOST};
+use super::connections::{Connections, Next, Stage, STEPS_MOST};
 use super::fields::{Catalogue, Fault, Fields, BODY_MOST};
 use super::poll::{Place, Poll};
 use super::{Clock, State};
@@ -61,85 +61,63 @@
         let Some(c) = self.connections.get_mut(id) else { return };
         let now = clock.now();
         for _ in 0..STEPS_MOST {
-            if c.link.flush().is_err() {
-                self.connections.close(id);
-                return;
+            match c.settle(now) {
+                Next::Read => {}
+                Next::Wait => return,
+                Next::Later => break,
+                Next::Close => return self.connections.close(id),
             }
-            match c.stage {
-                // One request at a time: what comes meanwhile waits in the buffer, then with the system.
-                Stage::Asked => return,
-                Stage::Answering if c.link.queued() > 0 => return,
-                Stage::Answering if c.close => {
-                    c.link.end_writing();
-                    c.step(now, Stage::Closing);
+            let filled = c.link.fill();
+            if c.link.data().is_empty() {
+                if filled != Filled::Open {
+                    self.connections.close(id);
                 }
-                Stage::Answering => c.step(now, Stage::Idle),
-                Stage::Closing => {
-                    let filled = c.link.fill();
-                    let n = c.link.data().len();
-                    c.link.consume(n);
+                return;
+            }
+            if c.stage == Stage::Idle {
+                c.step(now, Stage::Reading);
+            }
+            match parse(c.link.data(), Ticket(id), &state.known, clock) {
+                Parsed::Partial { wants_continue } => {
+                    // A request that will never be whole is none; the peer may have closed mid-body.
                     if filled != Filled::Open {
                         self.connections.close(id);
                         return;
                     }
-                    if n == 0 {
+                    if !wants_continue || c.memory {
                         return;
                     }
+                    c.memory = true;
+                    c.link.push(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec());
                 }
-                Stage::Idle | Stage::Reading => {
-                    let filled = c.link.fill();
-                    if c.link.data().is_empty() {
-                        if filled != Filled::Open {
-                            self.connections.close(id);
-                        }
-                        return;
-                    }
-                    if c.stage == Stage::Idle {
-                        c.step(now, Stage::Reading);
-                    }
-                    match parse(c.link.data(), Ticket(id), &state.known, clock) {
-                        Parsed::Partial { wants_continue } => {
-                            // A request that will never be whole is none; the peer may have closed mid-body.
-                            if filled != Filled::Open {
-                                self.connections.close(id);
-                                return;
-                            }
-                            if !wants_continue || c.memory {
-                                return;
-                            }
-                            c.memory = true;
-                            c.link.push(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec());
-                        }
-                        Parsed::Check { length, keep } => {
-                            c.link.consume(length);
-                            c.close = !keep || state.leaving;
-                            let answer = if state.fit && !state.leaving {
-                                simple(200, "OK", "good\n", "", state, c.close)
-                            } else {
-                                simple(503, "Service Unavailable", "bad\n", "", state, c.close)
-                            };
-                            c.link.push(answer);
-                            c.step(now, Stage::Answering);
-                        }
-                        Parsed::Whole { request, length, keep } => {
-                            c.link.consume(length);
-                            (c.close, c.memory) = (!keep, false);
-                            c.step(now, Stage::Asked);
-                            inputs.push(Input::Arrived(*request));
-                            return;
-                        }
-                        Parsed::Bad(fail) => {
-                            c.close = true;
-                            let allow = if fail.allow.is_empty() {
-                                String::new()
-                            } else {
-                                format!("Allow: {}\r\n", fail.allow)
-                            };
-                            let text = format!("{}\n", fail.why);
-                            c.link.push(simple(fail.code, reason(fail.code), &text, &allow, state, true));
-                            c.step(now, Stage::Answering);
-                        }
-                    }
+                Parsed::Check { length, keep } => {
+                    c.link.consume(length);
+                    c.close = !keep || state.leaving;
+                    let answer = if state.fit && !state.leaving {
+                        simple(200, "OK", "good\n", "", state, c.close)
+                    } else {
+                        simple(503, "Service Unavailable", "bad\n", "", state, c.close)
+                    };
+                    c.link.push(answer);
+                    c.step(now, Stage::Answering);
+                }
+                Parsed::Whole { request, length, keep } => {
+                    c.link.consume(length);
+                    (c.close, c.memory) = (!keep, false);
+                    c.step(now, Stage::Asked);
+                    inputs.push(Input::Arrived(*request));
+                    return;
+                }
+                Parsed::Bad(fail) => {
+                    c.close = true;
+                    let allow = if fail.allow.is_empty() {
+                        String::new()
+                    } else {
+                        format!("Allow: {}\r\n", fail.allow)
+                    };
+                    let text = format!("{}\n", fail.why);
+                    c.link.push(simple(fail.code, reason(fail.code), &text, &allow, state, true));
+                    c.step(now, Stage::Answering);
                 }
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod fields;
 pub mod http_front;
 pub mod poll;
+pub mod pool;
 pub mod records;
 pub mod registry;
 pub mod wheel;
@@ -19,7 +20,7 @@
 use crate::core::{Answer, Command, Core, Input, Ticket};
 use crate::interface::{Outcome, Settings};
 use ajp_backend::AjpBackend;
-use ajp_front::AjpFront;
+use ajp_front::{AjpFront, Turn};
 use calloop::signals::{Signal, Signals};
 use calloop::timer::{TimeoutAction, Timer as LoopTimer};
 use calloop::{EventLoop, RegistrationToken};
@@ -335,15 +336,17 @@
         }
         let mut paused = self.http.gather(&self.clock, &self.state, inputs);
         if let Some(ajp) = &mut self.ajp {
+            let (clock, state, log) = (&self.clock, &self.state, &mut self.log);
             let mut lookups = Vec::new();
-            paused |= ajp.gather(&self.clock, &self.state, inputs, &mut lookups, &mut self.log);
+            let mut turn = Turn { clock, state, inputs, lookups: &mut lookups, log };
+            paused |= ajp.gather(&mut turn);
             if let Some(directory) = &mut self.directory {
-                for lookup in lookups {
-                    directory.look_up(now, lookup, &mut self.wheel, &mut self.log);
+                for lookup in std::mem::take(turn.lookups) {
+                    directory.look_up(now, lookup, &mut self.wheel, turn.log);
                 }
-                directory.gather(now, &mut self.log);
+                directory.gather(now, turn.log);
                 for (ticket, found) in directory.take_found() {
-                    ajp.found(ticket, found, &self.clock, &self.state, inputs);
+                    ajp.found(ticket, found, &mut turn);
                 }
             }
         }
--- a/src/net/poll.rs
+++ b/src/net/poll.rs
@@ -129,7 +129,9 @@
     Stream(TcpStream),
     /// Nobody waits.
     Nobody,
-    /// Somebody may wait, but there is no descriptor or enough for one turn: look again later.
+    /// Somebody may wait, but there is no descriptor for them.
+    Full,
+    /// Somebody may wait, but this was enough for one turn.
     Pause,
 }
 
@@ -159,9 +161,12 @@
         if !self.waiting {
             return Accepted::Nobody;
         }
-        if taken >= ACCEPTS || !self.poll.room_for_caller() {
+        if taken >= ACCEPTS {
             return Accepted::Pause;
         }
+        if !self.poll.room_for_caller() {
+            return Accepted::Full;
+        }
         loop {
             match self.listener.accept() {
                 Ok((stream, _)) => return Accepted::Stream(stream),
@@ -169,8 +174,7 @@
                     self.waiting = false;
                     return Accepted::Nobody;
                 }
-                // Guards against spinning: the event stays, so the next try waits for the pause to end.
-                Err(e) if matches!(e.raw_os_error(), Some(EMFILE | ENFILE)) => return Accepted::Pause,
+                Err(e) if matches!(e.raw_os_error(), Some(EMFILE | ENFILE)) => return Accepted::Full,
                 // One that has gone before it was taken, and the like: the next may be sound.
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
--- a/src/net/records.rs
+++ b/src/net/records.rs
@@ -3,6 +3,7 @@
 
 use super::buffer::{Filled, Link};
 use super::poll::{Place, Poll};
+use super::pool::{full, take_idle, Kept};
 use super::wheel::{Timer, Wheel};
 use super::Log;
 use crate::core::Input;
@@ -16,7 +17,6 @@
 const HEADERS_MOST: usize = 32;
 /// The service closes a connection idle for 10 s; one that may be about to close is not used (seconds).
 const IDLE_KEEP_S: f64 = 5.0;
-const IDLE_MOST: usize = 16;
 /// A refused connection comes back at once and is tried again at once; this keeps the two from spinning while
 /// the service is down (seconds).
 const REFUSED_S: f64 = 0.04;
@@ -33,6 +33,16 @@
     idle_since: f64,
 }
 
+impl Kept for Connection {
+    fn link(&mut self) -> &mut Link {
+        &mut self.link
+    }
+
+    fn idle_since(&self) -> Option<f64> {
+        (self.call.is_none() && self.connected).then_some(self.idle_since)
+    }
+}
+
 /// The pool of connections, and the calls in hand.
 pub struct Records {
     address: SocketAddr,
@@ -67,7 +77,7 @@
     pub fn call(&mut self, now: f64, name: Rc<str>, body: Rc<[u8]>, for_s: f64, wheel: &mut Wheel) {
         self.give_up(&name);
         let number = self.poll.fresh();
-        let Some(id) = self.idle(now).or_else(|| self.open(now)) else {
+        let Some(id) = take_idle(&mut self.connections, now, IDLE_KEEP_S).or_else(|| self.open(now)) else {
             // No descriptor is left, or the system refused at once: the call never left.
             return self.refuse(now, name, wheel);
         };
@@ -92,21 +102,6 @@
         wheel.set(now, REFUSED_S, Timer::Call(number));
     }
 
-    /// A kept connection that is sound so far as can be seen.
-    fn idle(&mut self, now: f64) -> Option<u64> {
-        loop {
-            let free = self.connections.iter().filter(|(_, c)| c.call.is_none() && c.connected);
-            let id = *free.max_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since))?.0;
-            let c = self.connections.get_mut(&id)?;
-            // Guards against a call lost to a connection that the service has just closed.
-            let sound = c.link.fill() == Filled::Open && c.link.data().is_empty();
-            if sound && now - c.idle_since < IDLE_KEEP_S {
-                return Some(id);
-            }
-            self.connections.remove(&id);
-        }
-    }
-
     fn open(&mut self, now: f64) -> Option<u64> {
         let id = self.poll.fresh();
         let link = Link::connect(&self.poll, self.address, Place::Records(id), REPLY_MOST).ok()?;
@@ -190,7 +185,7 @@
         };
         c.idle_since = now;
         let call = c.call.take();
-        if !keep || self.connections.values().filter(|c| c.call.is_none()).count() > IDLE_MOST {
+        if !keep || full(&self.connections) {
             self.connections.remove(&id);
         }
         if let Some(call) = call {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -89,6 +89,17 @@
 
     /// Starts a worker with a changed configuration, and with an operator's file if there is a text for one.
     pub fn with(change: impl FnOnce(&mut Value), operator: Option<&str>) -> Site {
+        Site::run(Command::new(env!("CARGO_BIN_EXE_honeypost")), change, operator)
+    }
+
+    /// Starts a worker to which the system gives so many descriptors and no more, whatever its own budget is.
+    pub fn with_descriptors(n: usize) -> Site {
+        let mut command = Command::new("sh");
+        command.arg("-c").arg(format!("ulimit -n {n} && exec \"$0\"")).arg(env!("CARGO_BIN_EXE_honeypost"));
+        Site::run(command, |_| {}, None)
+    }
+
+    fn run(mut command: Command, change: impl FnOnce(&mut Value), operator: Option<&str>) -> Site {
         let executor = TcpListener::bind("127.0.0.1:0").unwrap();
         let records = TcpListener::bind("127.0.0.1:0").unwrap();
         let registry = UdpSocket::bind("127.0.0.1:0").unwrap();
@@ -103,7 +114,6 @@
         let folder = std::env::temp_dir().join(format!("honeypost-{}-{}", std::process::id(), name()));
         std::fs::create_dir_all(&folder).unwrap();
         std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_honeypost"));
         command.env("ROUTER_CONFIG", folder.join("config.json")).stderr(Stdio::piped());
         if let Some(text) = operator {
             std::fs::write(folder.join("operator.toml"), text).unwrap();
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -375,16 +375,18 @@
 
 #[test]
 fn a_full_table_of_connections_makes_callers_wait_and_not_fail() {
-    let site = Site::with(|c| c["limits"]["sockets"] = json!(64), None);
-    let mut executor = site.link();
-    // More idle connections than the budget holds: the longest idle ones are closed for new callers.
-    let idle: Vec<Client> = (0..80).map(|_| Client::connect(site.http)).collect();
-    let mut client = Client::connect(site.http);
-    client.send(&Ask::new("look"));
-    let exec = executor.next("EXEC");
-    executor.exit(&exec["job"], "PASS", "served");
-    assert_eq!(client.answer().body, b"served");
-    drop(idle);
+    // Full by its own budget, and full by the system's word.
+    for site in [Site::with(|c| c["limits"]["sockets"] = json!(64), None), Site::with_descriptors(40)] {
+        let mut executor = site.link();
+        // More idle connections than there is room for: the longest idle ones are closed for new callers.
+        let idle: Vec<Client> = (0..80).map(|_| Client::connect(site.http)).collect();
+        let mut client = Client::connect(site.http);
+        client.send(&Ask::new("look"));
+        let exec = executor.next("EXEC");
+        executor.exit(&exec["job"], "PASS", "served");
+        assert_eq!(client.answer().body, b"served");
+        drop(idle);
+    }
 }
 
 #[test]
