Write a call on a kept connection in the turn that places it

Also: what came up in the last round of a turn was dropped with the turn's list; it is now handed over in the next (net/mod.rs left_over).

A story shows that a peer that asks without end and reads nothing is held back.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -142,6 +142,8 @@
     records: Option<Records>,
     registry: Option<Registry>,
     leaving: Option<Leaving>,
+    /// What came up too late in a turn to be handed over in it.
+    left_over: Vec<Input>,
     accept_timer: bool,
     relink_timer: bool,
     done: bool,
@@ -226,6 +228,7 @@
             healthy: true,
             core: None,
             leaving: None,
+            left_over: Vec::new(),
             accept_timer: false,
             relink_timer: false,
             done: false,
@@ -278,7 +281,7 @@
                 }
             }
         }
-        let mut inputs = Vec::new();
+        let mut inputs = std::mem::take(&mut self.left_over);
         if std::mem::take(&mut gathered.leave) {
             self.leave(now, &mut inputs);
         }
@@ -305,6 +308,8 @@
                 self.wheel.set(now, 0.0, Timer::Again);
             }
         }
+        // Guards the last round's outcomes: a run given back there would otherwise never be answered.
+        self.left_over = inputs;
         self.follow_leaving();
     }
 
@@ -313,6 +318,7 @@
         self.http.connections.pending()
             || self.ajp.as_ref().is_some_and(|a| a.connections.pending())
             || self.servers.as_ref().is_some_and(AjpBackend::pending)
+            || self.records.as_ref().is_some_and(Records::pending)
     }
 
     /// Takes in all that is ready: outcomes first, which make room for what arrives.
--- a/src/net/records.rs
+++ b/src/net/records.rs
@@ -73,6 +73,12 @@
         }
     }
 
+    /// Whether a call waits to be written. Guards against a call on a kept connection, of which the loop tells
+    /// nothing, lying there until the next wake-up.
+    pub fn pending(&self) -> bool {
+        !self.touched.is_empty()
+    }
+
     /// Places a call for a run, to be given up after `for_s`. A second call for a run gives up the first.
     pub fn call(&mut self, now: f64, name: Rc<str>, body: Rc<[u8]>, for_s: f64, wheel: &mut Wheel) {
         self.give_up(&name);
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use serde_json::json;
+use std::io::Write;
 use std::process::Command;
 
 #[test]
@@ -389,6 +390,23 @@
     }
 }
 
+#[test]
+fn a_peer_that_asks_without_end_and_never_reads_is_held_back_and_harms_nobody() {
+    let site = Site::start();
+    let mut executor = site.link();
+    let mut greedy = std::net::TcpStream::connect(site.http).unwrap();
+    greedy.set_write_timeout(Some(std::time::Duration::from_millis(300))).unwrap();
+    let checks = "GET /check HTTP/1.1\r\n\r\n".repeat(4000);
+    // What it writes must pile up on its own side: far less than this fits into the system's buffers.
+    let held_back = (0..800).any(|_| greedy.write_all(checks.as_bytes()).is_err());
+    assert!(held_back, "the worker took in 70 MB of questions whose answers nobody reads");
+    let mut client = Client::connect(site.http);
+    client.send(&Ask::new("look"));
+    let exec = executor.next("EXEC");
+    executor.exit(&exec["job"], "PASS", "served");
+    assert_eq!(client.answer().body, b"served");
+}
+
 #[test]
 fn a_bad_configuration_is_one_line_and_a_bad_end() {
     let run = |config: Option<&str>, operator: Option<&str>| {
