--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,8 +37,9 @@
 //! assert_eq!(controller.take_released(), vec![RequestId(1)]);
 //! ```
 //!
-//! [`interface`] holds every type that crosses the border, [`Controller`] every decision; [`wire`] is an adapter
-//! that hosts many controllers behind a line protocol.
+//! [`interface`] holds every type that crosses the border, [`Controller`] every decision. Two adapters stand round
+//! it, with the settings of [`config`]: [`net`] is a port worker on real sockets, whose bookkeeping is in [`core`];
+//! [`wire`] hosts many controllers behind the simulator's line protocol.
 
 pub mod brain;
 pub mod config;
