Take SIGHUP as a move of the peers; turn away a key with another body

Checked: the signal was not among those that run() in net/mod.rs handles, so its default applied. Ruled out: the front's checks, since an unsound head never reaches the core.

SIGHUP is a loop event from before the first file is read. The executor's new link stands before the old one is dropped and JOINs at the last notice read; calls in hand end on their old connections, new ones go to the new address; the registry hears at once. A file that can't be used is one line. A keyed request's body is kept as a print, and another body under the key is answered 409, as is the id of an open request. Ranks, estimates, deadlines and stamps that make no sense are 400.

--- a/src/config.rs
+++ b/src/config.rs
@@ -3,9 +3,10 @@
 use crate::interface::{Class, Dependency, Effect, Gauges, Halting, Settings, Signal, Tenant};
 use serde::Deserialize;
 use std::collections::{HashMap, HashSet};
+use std::io::Read;
 use std::net::SocketAddr;
 
-#[derive(Deserialize, Default)]
+#[derive(Deserialize, Default, PartialEq)]
 #[serde(rename_all = "camelCase", default)]
 /// The settings object, the same in the simulator's first message and in a port worker's configuration. Keys
 /// that are not read here are ignored.
@@ -21,7 +22,7 @@
     pub period_s: f64,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Deserialize, Default, PartialEq)]
 #[serde(rename_all = "camelCase", default)]
 /// A part of the settings, as the platform writes it.
 pub struct Profile {
@@ -34,7 +35,7 @@
     pub window_s: f64,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Deserialize, Default, PartialEq)]
 #[serde(rename_all = "camelCase", default)]
 /// A part of the settings, as the platform writes it.
 pub struct TenantItem {
@@ -42,7 +43,7 @@
     pub quota_per_s: f64,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Deserialize, Default, PartialEq)]
 #[serde(rename_all = "camelCase", default)]
 /// A part of the settings, as the platform writes it.
 pub struct Domain {
@@ -66,7 +67,7 @@
     pub stays_for_s: f64,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Deserialize, Default, PartialEq)]
 #[serde(rename_all = "camelCase", default)]
 /// A part of the settings, as the platform writes it.
 pub struct Contract {
@@ -78,7 +79,7 @@
     pub tip_after_s: f64,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Deserialize, Default, PartialEq)]
 #[serde(rename_all = "camelCase", default)]
 /// A part of the settings, as the platform writes it.
 pub struct Limits {
@@ -86,7 +87,7 @@
     pub retry_after: bool,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Deserialize, Default, PartialEq)]
 #[serde(rename_all = "camelCase", default)]
 /// A part of the settings, as the platform writes it.
 pub struct Clients {
@@ -163,7 +164,7 @@
 }
 
 /// The limits on this process.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(default)]
 pub struct ProcessLimits {
     pub memory_mb: f64,
@@ -252,6 +253,19 @@
         Ok(())
     }
 
+    /// What this configuration has that a running worker can't take up: the names of what differs from `old`.
+    pub fn fixed_changes(&self, old: &Config) -> Vec<&'static str> {
+        let differs = [
+            ("name", self.name != old.name),
+            ("listen", self.listen != old.listen),
+            ("limits", self.limits != old.limits),
+            ("settings", self.settings != old.settings),
+            ("registry", self.registry.is_some() != old.registry.is_some()),
+            ("records", self.records.is_some() != old.records.is_some()),
+        ];
+        differs.into_iter().filter_map(|(name, differs)| differs.then_some(name)).collect()
+    }
+
     /// The seed as a number: hexadecimal digits; anything else is mixed into one.
     pub fn seed_number(&self) -> u64 {
         u64::from_str_radix(&self.seed, 16).unwrap_or_else(|_| {
@@ -260,6 +274,33 @@
     }
 }
 
+/// A configuration or an operator's file is never so long (bytes).
+const FILE_MOST: u64 = 4 * 1024 * 1024;
+
+/// Where the configuration lies, and the operator's file where there is one.
+pub struct Files {
+    pub config: String,
+    pub operator: Option<String>,
+}
+
+impl Files {
+    pub fn config(&self) -> Result<Config, String> {
+        Config::decode(&read(&self.config)?).map_err(|e| format!("{}: {e}", self.config))
+    }
+
+    pub fn operator(&self, config: &Config) -> Result<Operator, String> {
+        let Some(path) = &self.operator else { return Ok(Operator::default()) };
+        Operator::decode(&read(path)?, config).map_err(|e| format!("{path}: {e}"))
+    }
+}
+
+fn read(path: &str) -> Result<String, String> {
+    let mut text = String::new();
+    let file = std::fs::File::open(path).map_err(|e| format!("{path}: {e}"))?;
+    file.take(FILE_MOST).read_to_string(&mut text).map_err(|e| format!("{path}: {e}"))?;
+    Ok(text)
+}
+
 /// What an operator sets up beside the platform: all of it is off where the file does not name it.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct Operator {
--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -32,6 +32,8 @@
 #[derive(Debug)]
 pub struct Entry {
     pub holder: RequestId,
+    /// Stands for the body of the holder and its tries.
+    print: u64,
     pub progress: Progress,
     expires: f64,
     /// Tries that get what the holder gets.
@@ -70,19 +72,25 @@
         self.entries.get_mut(name)
     }
 
+    /// What stands for the body that came with this key.
+    pub fn print(&self, name: &KeyName) -> Option<u64> {
+        self.entries.get(name).map(|e| e.print)
+    }
+
     /// Records a request as the holder of its key, or renews its entry.
-    pub fn remember(&mut self, name: &KeyName, holder: RequestId, expires: f64) {
+    pub fn remember(&mut self, name: &KeyName, holder: RequestId, print: u64, expires: f64) {
         let stale = self.entries.get(name).is_some_and(|e| e.holder != holder);
         if stale && !matches!(self.entries[name].progress, Progress::Open) {
             self.remove(name);
         }
         let entry = self.entries.entry(name.clone()).or_insert_with(|| Entry {
             holder,
+            print,
             progress: Progress::Open,
             expires,
             waiting: Vec::new(),
         });
-        (entry.holder, entry.expires) = (holder, expires);
+        (entry.holder, entry.print, entry.expires) = (holder, print, expires);
     }
 
     /// Takes the key of a request that never ran from the table. An entry whose run has ended stays: a
@@ -148,7 +156,7 @@
     #[test]
     fn a_try_is_linked_by_its_arrival_not_by_when_it_is_read() {
         let mut keys = Keys::new(100);
-        keys.remember(&name("a"), RequestId(1), 10.0);
+        keys.remember(&name("a"), RequestId(1), 0, 10.0);
         keys.ended(&name("a"), RequestId(1), Some(Rc::from(*b"done")));
         keys.sweep(12.0);
         assert_eq!(keys.linked(&name("a"), 9.9), Some(RequestId(1)));
@@ -160,7 +168,7 @@
     #[test]
     fn an_open_run_is_linked_beyond_its_time() {
         let mut keys = Keys::new(100);
-        keys.remember(&name("a"), RequestId(1), 10.0);
+        keys.remember(&name("a"), RequestId(1), 0, 10.0);
         keys.sweep(30.0);
         assert_eq!(keys.linked(&name("a"), 30.0), Some(RequestId(1)));
     }
@@ -169,7 +177,7 @@
     fn results_beyond_the_room_go_oldest_first_and_their_links_stay() {
         let mut keys = Keys::new(10);
         for (i, key) in ["a", "b"].iter().enumerate() {
-            keys.remember(&name(key), RequestId(i as u64), 10.0);
+            keys.remember(&name(key), RequestId(i as u64), 0, 10.0);
             keys.ended(&name(key), RequestId(i as u64), Some(Rc::from(*b"sevenby")));
         }
         assert_eq!(keys.linked(&name("a"), 1.0), Some(RequestId(0)));
@@ -180,7 +188,7 @@
     #[test]
     fn a_key_is_only_known_within_its_class_and_tenant() {
         let mut keys = Keys::new(10);
-        keys.remember(&name("a"), RequestId(1), 10.0);
+        keys.remember(&name("a"), RequestId(1), 0, 10.0);
         let other = KeyName { tenant: Some(2), ..name("a") };
         assert_eq!(keys.linked(&other, 1.0), None);
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,6 @@
 //! Starts one port worker from the configuration that the platform names.
 
-use honeypost::config::{Config, Operator};
+use honeypost::config::Files;
 use honeypost::net;
 use std::process::ExitCode;
 
@@ -21,15 +21,6 @@
         (Some("--operator"), Some(path), None) => Some(path),
         _ => return Err("usage: honeypost [--operator FILE]".to_owned()),
     };
-    let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG names no file".to_owned())?;
-    let config = Config::decode(&read(&path)?).map_err(|e| format!("{path}: {e}"))?;
-    let operator = match operator {
-        Some(path) => Operator::decode(&read(&path)?, &config).map_err(|e| format!("{path}: {e}"))?,
-        None => Operator::default(),
-    };
-    net::run(config, operator)
-}
-
-fn read(path: &str) -> Result<String, String> {
-    std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))
+    let config = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG names no file".to_owned())?;
+    net::run(Files { config, operator })
 }
--- a/src/net/ajp_front.rs
+++ b/src/net/ajp_front.rs
@@ -272,6 +272,7 @@
                 }
                 answer(c, now, 503, "Service Unavailable", &extra, None, state);
             }
+            Answer::Conflict => answer(c, now, 409, "Conflict", &[], None, state),
             Answer::Failed => answer(c, now, 502, "Bad Gateway", &[], None, state),
             Answer::OutOfTime => answer(c, now, 504, "Gateway Timeout", &[], None, state),
         }
--- a/src/net/executor.rs
+++ b/src/net/executor.rs
@@ -62,9 +62,9 @@
 pub struct Executor {
     address: SocketAddr,
     poll: Poll,
-    link: Option<Link>,
-    number: u64,
-    joined: bool,
+    /// The link that has been joined, and the one that is being set up to take its place.
+    link: Option<(u64, Link)>,
+    next: Option<(u64, Link)>,
     /// Commands for the next link.
     waiting: Vec<Vec<u8>>,
     waiting_bytes: usize,
@@ -84,8 +84,7 @@
             address,
             poll: poll.clone(),
             link: None,
-            number: 0,
-            joined: false,
+            next: None,
             waiting: Vec::new(),
             waiting_bytes: 0,
             last: 0,
@@ -114,48 +113,82 @@
     }
 
     pub fn mark(&mut self, number: u64, readable: bool, writable: bool) {
-        if let Some(link) = self.link.as_mut().filter(|_| self.number == number) {
-            link.mark(readable, writable);
+        for (n, link) in [&mut self.link, &mut self.next].into_iter().flatten() {
+            if *n == number {
+                link.mark(readable, writable);
+            }
         }
     }
 
+    /// The executor is to be found elsewhere. The old link serves until the new one stands.
+    pub fn move_to(&mut self, now: f64, address: SocketAddr) {
+        if address != self.address {
+            (self.address, self.next) = (address, None);
+            (self.pause_s, self.relink_at) = (RELINK_S.0, Some(now));
+        }
+    }
+
+    /// The link is gone, broken or given up for another.
     fn lose(&mut self, now: f64, why: &str, log: &mut Log) {
-        if let Some(mut link) = self.link.take() {
+        if let Some((_, mut link)) = self.link.take() {
             log.line(&format!("executor: link lost: {why}"));
             // The JOIN, and questions for the gauges, mean nothing to the next link.
-            if self.joined {
-                self.waiting = link.unsent().into_iter().filter(|c| !c.starts_with(METER_START)).collect();
-                self.waiting_bytes = self.waiting.iter().map(Vec::len).sum();
-            }
+            self.waiting = link.unsent().into_iter().filter(|c| !c.starts_with(METER_START)).collect();
+            self.waiting_bytes = self.waiting.iter().map(Vec::len).sum();
         }
-        self.joined = false;
+        if self.next.is_none() {
+            self.try_later(now);
+        }
+    }
+
+    fn try_later(&mut self, now: f64) {
         self.relink_at = Some(now + self.pause_s);
         self.pause_s = (self.pause_s * 2.0).min(RELINK_S.1);
     }
 
-    /// Links up when it is time, and takes what the executor has said.
-    pub fn gather(&mut self, now: f64, inputs: &mut Vec<Input>, log: &mut Log) {
-        if self.link.is_none() && self.relink_at.is_some_and(|at| now >= at) {
-            self.number = self.poll.fresh();
-            match Link::connect(&self.poll, self.address, Place::Executor(self.number), LINE_MOST) {
-                Ok(link) => (self.link, self.relink_at) = (Some(link), None),
-                Err(e) => self.lose(now, &e.to_string(), log),
+    /// Sets up a link when it is time; `true` once it stands.
+    fn set_up(&mut self, now: f64, log: &mut Log) -> bool {
+        if self.next.is_none() && self.relink_at.is_some_and(|at| now >= at) {
+            let number = self.poll.fresh();
+            match Link::connect(&self.poll, self.address, Place::Executor(number), LINE_MOST) {
+                Ok(link) => (self.next, self.relink_at) = (Some((number, link)), None),
+                Err(e) => {
+                    log.line(&format!("executor: no link: {e}"));
+                    self.try_later(now);
+                }
             }
         }
-        let Some(link) = &mut self.link else { return };
-        if !self.joined {
-            match link.connected() {
-                None => return,
-                Some(Err(e)) => return self.lose(now, &e.to_string(), log),
-                Some(Ok(())) => {}
+        match self.next.as_ref().and_then(|(_, link)| link.connected()) {
+            None => false,
+            Some(Ok(())) => true,
+            Some(Err(e)) => {
+                log.line(&format!("executor: no link: {e}"));
+                self.next = None;
+                self.try_later(now);
+                false
             }
-            self.joined = true;
-            link.push(line(&Order::Join { n: self.last }));
-            self.waiting.drain(..).for_each(|command| link.push(command));
-            self.waiting_bytes = 0;
         }
+    }
+
+    /// Links up when it is time, and takes what the executor has said.
+    pub fn gather(&mut self, now: f64, inputs: &mut Vec<Input>, log: &mut Log) {
+        let stands = self.set_up(now, log);
+        self.read(now, inputs, log);
+        if stands {
+            self.lose(now, "another takes its place", log);
+            if let Some((_, link)) = &mut self.next {
+                link.push(line(&Order::Join { n: self.last }));
+                self.waiting.drain(..).for_each(|command| link.push(command));
+                self.waiting_bytes = 0;
+            }
+            self.link = self.next.take();
+            self.read(now, inputs, log);
+        }
+    }
+
+    fn read(&mut self, now: f64, inputs: &mut Vec<Input>, log: &mut Log) {
         loop {
-            let Some(link) = &mut self.link else { return };
+            let Some((_, link)) = &mut self.link else { return };
             let filled = link.fill();
             let mut taken = 0;
             let mut bad = None;
@@ -258,9 +291,8 @@
 
     fn send(&mut self, command: Vec<u8>) -> bool {
         match &mut self.link {
-            Some(link) if self.joined && link.queued() < QUEUE_MOST => link.push(command),
+            Some((_, link)) if link.queued() < QUEUE_MOST => link.push(command),
             None if self.waiting_bytes < QUEUE_MOST => self.wait(command),
-            Some(_) if !self.joined && self.waiting_bytes < QUEUE_MOST => self.wait(command),
             _ => return false,
         }
         true
@@ -287,13 +319,13 @@
 
     /// Asks for the gauges, unless commands wait: then the executor is not reading.
     pub fn ask_gauges(&mut self) {
-        if let Some(link) = self.link.as_mut().filter(|l| self.joined && l.queued() == 0) {
+        if let Some((_, link)) = self.link.as_mut().filter(|(_, l)| l.queued() == 0) {
             link.push(line(&Order::Meter { r#ref: "g" }));
         }
     }
 
     pub fn flush(&mut self, now: f64, log: &mut Log) {
-        if let Some(Err(e)) = self.link.as_mut().map(Link::flush) {
+        if let Some(Err(e)) = self.link.as_mut().map(|(_, link)| link.flush()) {
             self.lose(now, &e.to_string(), log);
         }
     }
--- a/src/net/fields.rs
+++ b/src/net/fields.rs
@@ -11,6 +11,9 @@
 /// The memory booked for a held request that states none (KB).
 pub const DEFAULT_NEED_KB: f64 = 32.0;
 
+/// No caller waits, and no work takes, longer than this (milliseconds).
+const WAIT_MOST_MS: f64 = 3_600_000.0;
+
 /// The largest request body (bytes).
 pub const BODY_MOST: usize = 2048;
 
@@ -61,6 +64,7 @@
     deadline_ms: Option<f64>,
     estimate_ms: Option<f64>,
     need_kb: Option<f64>,
+    rank: Option<f64>,
     caller: Option<u64>,
     resent: Option<bool>,
 }
@@ -90,16 +94,20 @@
         } else if is("X-Arrived-Ms") {
             set(&mut self.arrived_ms, number(text(), 0.0, 1e14), "X-Arrived-Ms")
         } else if is("X-Deadline-Ms") {
-            set(&mut self.deadline_ms, number(text(), 0.0, 1e9), "X-Deadline-Ms")
+            set(&mut self.deadline_ms, number(text(), 0.0, WAIT_MOST_MS), "X-Deadline-Ms")
         } else if is("X-Estimate-Ms") {
-            set(&mut self.estimate_ms, number(text(), 0.0, 1e9), "X-Estimate-Ms")
+            set(&mut self.estimate_ms, number(text(), 0.0, WAIT_MOST_MS), "X-Estimate-Ms")
+        } else if is("X-Criticality") {
+            // Nothing here goes by it, but a request with a rank that is none is no sound request.
+            set(&mut self.rank, number(text(), 0.0, 1.0).filter(|n| *n < 1.0), "X-Criticality")
         } else if is("X-Need-Kb") {
             let need = number(text(), 0.0, 2000.0).filter(|n| *n > 0.0 && *n < 2000.0);
             set(&mut self.need_kb, need, "X-Need-Kb")
         } else if is("X-Upstream-Peer") {
-            set(&mut self.caller, text().parse().ok(), "X-Upstream-Peer")
+            let digits = text().bytes().all(|b| b.is_ascii_digit());
+            set(&mut self.caller, text().parse().ok().filter(|_| digits), "X-Upstream-Peer")
         } else if is("X-Resent") {
-            set(&mut self.resent, Some(text() == "1"), "X-Resent")
+            set(&mut self.resent, matches!(text(), "0" | "1").then(|| text() == "1"), "X-Resent")
         } else {
             Ok(())
         }
@@ -141,6 +149,10 @@
         if keyed && self.key.is_none() {
             return Err(Fault::Field("X-Operation-Key"));
         }
+        // A stamp of another day is none: the request would count as overdue, or as one that waits for ever.
+        if self.arrived_ms.is_some_and(|at| (clock.unix_ms() - at).abs() > WAIT_MOST_MS) {
+            return Err(Fault::Field("X-Arrived-Ms"));
+        }
         let unread_s = self.unread_s(clock);
         let patience_s = self.time_left(class, known, clock);
         Ok(Request {
--- a/src/net/http_front.rs
+++ b/src/net/http_front.rs
@@ -145,6 +145,7 @@
                 c.link.push(simple(503, reason(503), "", &extra, state, c.close));
             }
             Answer::Failed => c.link.push(simple(500, reason(500), "", "", state, c.close)),
+            Answer::Conflict => c.link.push(simple(409, reason(409), "", "", state, c.close)),
             Answer::OutOfTime => c.link.push(simple(504, reason(504), "", "", state, c.close)),
         }
         self.connections.touch(ticket.0);
@@ -157,6 +158,7 @@
         403 => "Forbidden",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        409 => "Conflict",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         500 => "Internal Server Error",
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,7 +16,7 @@
 pub mod registry;
 pub mod wheel;
 
-use crate::config::{Config, Operator, RESERVED_SOCKETS};
+use crate::config::{Config, Files, RESERVED_SOCKETS};
 use crate::core::{Answer, Command, Core, Input, Ticket};
 use crate::interface::{Outcome, Settings};
 use ajp_backend::AjpBackend;
@@ -127,6 +127,7 @@
     clock: Clock,
     log: Log,
     wheel: Wheel,
+    files: Files,
     config: Config,
     settings: Settings,
     core: Option<Core>,
@@ -150,17 +151,22 @@
 }
 
 /// Runs a port worker until it has left.
-pub fn run(config: Config, operator: Operator) -> Result<(), String> {
+pub fn run(files: Files) -> Result<(), String> {
     let mut events: EventLoop<Gathered> = EventLoop::try_new().map_err(|e| format!("event loop: {e}"))?;
     let handle = events.handle();
-    // Before anything else: from here on the notice is taken in turn, not by the default death.
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| format!("signals: {e}"))?;
+    // Before anything else: from here on a notice is taken in turn, not by the default death.
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])
+        .map_err(|e| format!("signals: {e}"))?;
     handle
-        .insert_source(signals, |_, _, gathered: &mut Gathered| gathered.leave = true)
+        .insert_source(signals, |event, _, gathered: &mut Gathered| match event.signal() {
+            Signal::SIGHUP => gathered.reload = true,
+            _ => gathered.leave = true,
+        })
         .map_err(|e| format!("signals: {e}"))?;
+    let config = files.config()?;
     let mut timer_token: Option<RegistrationToken> = None;
     let poll = Poll::new(handle.clone(), config.limits.sockets - RESERVED_SOCKETS);
-    let mut worker = Worker::new(config, operator, &poll)?;
+    let mut worker = Worker::new(files, config, &poll)?;
     let mut gathered = Gathered::default();
     let mut armed = None;
     worker.turn(&mut gathered);
@@ -187,8 +193,9 @@
 }
 
 impl Worker {
-    fn new(config: Config, operator: Operator, poll: &Poll) -> Result<Worker, String> {
+    fn new(files: Files, config: Config, poll: &Poll) -> Result<Worker, String> {
         let clock = Clock::new();
+        let operator = files.operator(&config)?;
         let mut settings = config.settings.settings(config.seed_number());
         // Kept keys and results lie in this process's own memory: the platform books none for them.
         settings.entry_kb = 0.0;
@@ -235,6 +242,7 @@
             clock,
             log,
             wheel,
+            files,
             config,
             settings,
             http,
@@ -285,6 +293,9 @@
         if std::mem::take(&mut gathered.leave) {
             self.leave(now, &mut inputs);
         }
+        if std::mem::take(&mut gathered.reload) {
+            self.reload(now);
+        }
         let mut due = Vec::new();
         self.wheel.expire(now, &mut due);
         due.into_iter().for_each(|timer| self.timer(now, timer, &mut inputs));
@@ -525,6 +536,31 @@
         self.beat(false);
     }
 
+    /// Takes up the addresses of a changed configuration. Runs, keys and what is held carry on; calls in hand
+    /// end where they were placed. Guards against a file that is half written or wrong: the old one stays.
+    fn reload(&mut self, now: f64) {
+        let next = match self.files.config() {
+            Ok(next) => next,
+            Err(e) => return self.log.line(&format!("reload: the old configuration stays: {e}")),
+        };
+        let fixed = next.fixed_changes(&self.config);
+        if !fixed.is_empty() {
+            self.log.line(&format!("reload: not taken up before a restart: {}", fixed.join(", ")));
+        }
+        self.config.stop_ms = next.stop_ms;
+        self.executor.move_to(now, next.executor);
+        if let (Some(records), Some(to)) = (&mut self.records, next.records) {
+            records.move_to(to);
+        }
+        if let (Some(registry), Some(to)) = (&mut self.registry, next.registry) {
+            if let Err(e) = registry.move_to(to) {
+                self.log.line(&format!("reload: registry {to}: {e}"));
+            }
+        }
+        self.log.line(&format!("reload: executor {}", next.executor));
+        self.beat(true);
+    }
+
     fn sweep_fronts(&mut self, now: f64, leaving: bool) {
         self.http.connections.sweep(now, self.idle_s, leaving);
         if let Some(ajp) = &mut self.ajp {
--- a/src/net/poll.rs
+++ b/src/net/poll.rs
@@ -41,6 +41,8 @@
     states: HashMap<Place, (bool, bool)>,
     /// The notice to leave has come.
     pub leave: bool,
+    /// The configuration is to be read again.
+    pub reload: bool,
 }
 
 impl Gathered {
--- a/src/net/records.rs
+++ b/src/net/records.rs
@@ -28,6 +28,7 @@
 
 struct Connection {
     link: Link,
+    to: SocketAddr,
     connected: bool,
     call: Option<Call>,
     idle_since: f64,
@@ -73,6 +74,12 @@
         }
     }
 
+    /// New calls go to another address from here on; calls in hand end where they are.
+    pub fn move_to(&mut self, address: SocketAddr) {
+        self.address = address;
+        self.connections.retain(|_, c| c.to == address || c.call.is_some());
+    }
+
     /// Whether a call waits to be written. Guards against a call on a kept connection, of which the loop tells
     /// nothing, lying there until the next wake-up.
     pub fn pending(&self) -> bool {
@@ -111,7 +118,8 @@
     fn open(&mut self, now: f64) -> Option<u64> {
         let id = self.poll.fresh();
         let link = Link::connect(&self.poll, self.address, Place::Records(id), REPLY_MOST).ok()?;
-        self.connections.insert(id, Connection { link, connected: false, call: None, idle_since: now });
+        let (to, connected, call, idle_since) = (self.address, false, None, now);
+        self.connections.insert(id, Connection { link, to, connected, call, idle_since });
         Some(id)
     }
 
@@ -191,6 +199,7 @@
         };
         c.idle_since = now;
         let call = c.call.take();
+        let keep = keep && c.to == self.address;
         if !keep || full(&self.connections) {
             self.connections.remove(&id);
         }
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -285,6 +285,11 @@
         (good.replace("X-Org: acme", "X-Org: acme\r\nX-Org: acme"), 400),
         (good.replace("X-Deadline-Ms: 8000", "X-Deadline-Ms: NaN"), 400),
         (good.replace("X-Need-Kb: 24.5", "X-Need-Kb: 0"), 400),
+        (good.replace("X-Deadline-Ms: 8000", "X-Deadline-Ms: 99999999"), 400),
+        (good.replace("X-Criticality: 0.6250", "X-Criticality: inf"), 400),
+        (good.replace("X-Criticality: 0.6250", "X-Criticality: 1.0"), 400),
+        (good.replace("X-Upstream-Peer: 4", "X-Upstream-Peer: +4"), 400),
+        (Ask { arrived_ms: 12, ..Ask::new("look") }.text(), 400),
         (good.replace("X-Correlation-Id: ", "X-Correlation-Id: z"), 400),
         (order.replace("X-Operation-Key: k\r\n", ""), 400),
         (good.replace("X-Org: acme", "X-Org: other"), 403),
@@ -435,3 +440,58 @@
         assert!(!success && text.lines().count() == 1 && text.contains(named), "{text}");
     }
 }
+
+/// The default of the signal ended the worker, with all that it held.
+#[test]
+fn a_reload_moves_to_new_addresses_and_what_runs_and_is_held_carries_on() {
+    let mut site = Site::start();
+    let mut executor = site.link();
+    let mut clients: Vec<Client> = (0..5).map(|_| Client::connect(site.http)).collect();
+    let mut jobs = Vec::new();
+    for client in &mut clients[..2] {
+        client.send(&Ask::new("look"));
+        jobs.push(executor.next("EXEC")["job"].clone());
+    }
+    executor.notice(json!({"type": "CALLOUT", "job": jobs[0], "data": encode("q")}));
+    let mut below = Client::on(accept(&site.records));
+    below.message();
+    // The run at its call has left a slot to the order; the last look is held.
+    clients[2].send(&Ask { key: Some("5c0f"), ..Ask::new("order") });
+    let order = executor.next("EXEC")["job"].clone();
+    clients[3].send(&Ask::new("look"));
+    let (_, _, _registry) = site.move_peers();
+    let mut moved = Executor::accept(&site.executor);
+    assert_eq!(moved.next("JOIN")["n"], 1);
+    moved.n = 1;
+    moved.say(json!({"type": "WELCOME", "state": "LOADED", "took": 3_600_000.0}));
+    site.wait_beat("ready");
+    // The call in hand ends where it was placed; what was held starts over the new link.
+    below.write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+    assert_eq!(moved.next("RETURN")["data"], encode("a"));
+    moved.exit(&jobs[0], "PASS", "one");
+    assert_eq!(clients[0].answer().body, b"one");
+    jobs.push(moved.next("EXEC")["job"].clone());
+    // The next call goes to the new address, though the old connection was kept.
+    moved.notice(json!({"type": "CALLOUT", "job": jobs[1], "data": encode("r")}));
+    Client::on(accept(&site.records)).message();
+    moved.exit(&order, "PASS", "done");
+    assert_eq!(clients[2].answer().body, b"done");
+    moved.exit(&jobs[2], "PASS", "late");
+    assert_eq!(clients[3].answer().body, b"late");
+    assert_eq!(clients[4].ask(&Ask { key: Some("5c0f"), ..Ask::new("order") }).body, b"done");
+}
+
+#[test]
+fn a_file_that_cant_be_used_changes_nothing_and_what_cant_change_is_said() {
+    let mut site = Site::start();
+    let mut executor = site.link();
+    site.reload_text("{\"name\":");
+    site.wait_log("the old configuration stays");
+    site.reload(|c| c["limits"]["sockets"] = json!(128));
+    assert!(site.wait_log("not taken up before a restart").ends_with("limits"));
+    let mut client = Client::connect(site.http);
+    client.send(&Ask::new("look"));
+    let job = executor.next("EXEC")["job"].clone();
+    executor.exit(&job, "PASS", "x");
+    assert_eq!(client.answer().body, b"x");
+}
