Give again what a broken link may have lost, and read records replies strictly

Checked: a run whose EXEC was lost held its slot until 30 s after its due time (core::drop_silent_runs), so about 10 breaks filled the run limit; the answer BAD for made-up requests was RunEnded with Error (executor::take), which the module counts as failed runs; records::parse took an interim 1xx answer for the reply and found no length in it. Ruled out: CPU (at most 0.08 s in a second), memory (5 MB) and descriptors (468 of 512).

After a break the new link asks a fence behind JOIN. Once it is answered the core gives again what was commanded in the 150 ms before the break, if nothing was heard of the run: a start is harmless to a run that goes on, and by PROTOCOL and WIRE one that is over is not begun anew. A skip names its call. BAD to an EXEC is a run that never was, other BADs change nothing. NOOP frees the key unless the start was given twice. 1xx are skipped, heads bounded at 8 KiB, odd lengths and encodings told at once, bytes beyond a reply spoil the connection. Calls that can't be made twice go on new connections: a kept one that is reset proves nothing. Keys in the table have a bound. Lines that peers can cause at will are logged with a count every 10 s.

--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -43,14 +43,22 @@
 /// All keys, with a bound on the bytes of kept results.
 pub struct Keys {
     entries: HashMap<KeyName, Entry>,
+    /// Oldest first; some may have left the table since.
     served: VecDeque<KeyName>,
     kept: usize,
     room: usize,
+    most: usize,
 }
 
 impl Keys {
-    pub fn new(room: usize) -> Self {
-        Keys { entries: HashMap::new(), served: VecDeque::new(), kept: 0, room }
+    /// A table of at most so many keys, with room for so many bytes of results.
+    pub fn new(room: usize, most: usize) -> Self {
+        Keys { entries: HashMap::new(), served: VecDeque::new(), kept: 0, room, most }
+    }
+
+    /// Whether one more key is too many. None is dropped for it: what it guards could run twice.
+    pub fn full(&self) -> bool {
+        self.entries.len() >= self.most
     }
 
     pub fn len(&self) -> usize {
@@ -133,7 +141,6 @@
     fn remove(&mut self, name: &KeyName) {
         self.drop_result(name);
         self.entries.remove(name);
-        self.served.retain(|n| n != name);
     }
 
     /// Drops what can link nothing any more.
@@ -142,6 +149,11 @@
         let gone: Vec<KeyName> =
             self.entries.iter().filter(|(_, e)| over(e)).map(|(n, _)| n.clone()).collect();
         gone.iter().for_each(|name| self.remove(name));
+        // A name may stand here twice, for its old result and a new one: then the new one goes a little early.
+        let entries = &self.entries;
+        self.served.retain(|name| entries.contains_key(name));
+        self.served.shrink_to(4 * self.served.len());
+        self.entries.shrink_to(4 * self.entries.len());
     }
 }
 
@@ -155,7 +167,7 @@
 
     #[test]
     fn a_try_is_linked_by_its_arrival_not_by_when_it_is_read() {
-        let mut keys = Keys::new(100);
+        let mut keys = Keys::new(100, 9);
         keys.remember(&name("a"), RequestId(1), 0, 10.0);
         keys.ended(&name("a"), RequestId(1), Some(Rc::from(*b"done")));
         keys.sweep(12.0);
@@ -167,7 +179,7 @@
 
     #[test]
     fn an_open_run_is_linked_beyond_its_time() {
-        let mut keys = Keys::new(100);
+        let mut keys = Keys::new(100, 9);
         keys.remember(&name("a"), RequestId(1), 0, 10.0);
         keys.sweep(30.0);
         assert_eq!(keys.linked(&name("a"), 30.0), Some(RequestId(1)));
@@ -175,7 +187,7 @@
 
     #[test]
     fn results_beyond_the_room_go_oldest_first_and_their_links_stay() {
-        let mut keys = Keys::new(10);
+        let mut keys = Keys::new(10, 9);
         for (i, key) in ["a", "b"].iter().enumerate() {
             keys.remember(&name(key), RequestId(i as u64), 0, 10.0);
             keys.ended(&name(key), RequestId(i as u64), Some(Rc::from(*b"sevenby")));
@@ -187,7 +199,7 @@
 
     #[test]
     fn a_key_is_only_known_within_its_class_and_tenant() {
-        let mut keys = Keys::new(10);
+        let mut keys = Keys::new(10, 9);
         keys.remember(&name("a"), RequestId(1), 0, 10.0);
         let other = KeyName { tenant: Some(2), ..name("a") };
         assert_eq!(keys.linked(&other, 1.0), None);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,7 +7,7 @@
 pub mod keys;
 
 use crate::brain::Controller;
-use crate::interface::{Action, Arrival, Event, Gauges, Outcome, RequestId, Settings};
+use crate::interface::{Action, Arrival, Class, Effect, Event, Gauges, Outcome, RequestId, Settings};
 use keys::{KeyName, Keys, Progress};
 use std::collections::hash_map::RandomState;
 use std::collections::{HashMap, VecDeque};
@@ -78,8 +78,20 @@
     NeverRan {
         name: Rc<str>,
     },
+    /// A backend does not know the request that it was to run: it never ran, and never will.
+    Unknown {
+        name: Rc<str>,
+    },
+    /// A link to a backend broke and stands again: what was commanded from `from` to `to` may have been lost with
+    /// it, and all notices of before have been handed over.
+    InDoubt {
+        from: f64,
+        to: f64,
+    },
     /// The backend has lost all runs: none of them will end by itself.
     RunsLost,
+    /// The connection on which this answer is owed has been torn down.
+    Gone(Ticket),
     Leave {
         in_s: f64,
     },
@@ -90,11 +102,28 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
     Answer(Ticket, Answer),
-    Run { name: Rc<str>, class: usize, body: Rc<[u8]>, due: f64 },
-    Call { name: Rc<str>, body: Rc<[u8]>, for_s: f64 },
+    Run {
+        name: Rc<str>,
+        class: usize,
+        body: Rc<[u8]>,
+        due: f64,
+    },
+    /// `again` says that the call may be made once more if it is not known how it went.
+    Call {
+        name: Rc<str>,
+        body: Rc<[u8]>,
+        for_s: f64,
+        again: bool,
+    },
     GiveUpCall(Rc<str>),
-    Resume { name: Rc<str>, reply: Rc<[u8]> },
-    SkipCall { name: Rc<str>, mark: u64 },
+    Resume {
+        name: Rc<str>,
+        reply: Rc<[u8]>,
+    },
+    SkipCall {
+        name: Rc<str>,
+        mark: u64,
+    },
     Health(bool),
     Publish(f64),
     CloseIdle(f64),
@@ -103,13 +132,32 @@
 }
 
 /// A run that its backend has gone silent on holds its slot for this long after its due time (seconds).
-const SILENT_RUN_S: f64 = 30.0;
+const SILENT_RUN_S: f64 = 10.0;
 /// An answer given this close to the due time is one for lack of time (seconds).
 const NEAR_DUE_S: f64 = 0.2;
 
+/// A reply in doubt is sent again only after this share of an aim without a word from its run: a run that got it
+/// would by then have ended or come to its next call, which the reply must not answer.
+const REPLY_AGAIN_OF_AIM: f64 = 0.4;
+/// Keys in the table at most: one for so many bytes of room for results, but so many at least. What peers choose
+/// must not fill the memory.
+const BYTES_A_KEY: usize = 1024;
+const KEYS_LEAST: usize = 256;
+
 /// When to come back after a run that could not be begun (seconds).
 const COME_BACK_S: f64 = 1.0;
 
+/// The last command for a run of which nothing has been heard since, and when it was given.
+enum Sent {
+    Run,
+    Resume(Rc<[u8]>, u64),
+    Skip(u64),
+}
+
+fn refused() -> Answer {
+    Answer::Refused { stay_away_s: COME_BACK_S, no_other: false }
+}
+
 struct Held {
     request: Request,
     due: f64,
@@ -121,6 +169,9 @@
     key: Option<KeyName>,
     at_call: Option<(Rc<[u8]>, u64)>,
     calling: bool,
+    sent: Option<(f64, Sent)>,
+    /// Its run was commanded a second time, since the first command may have been lost.
+    twice: bool,
 }
 
 /// The core of one worker.
@@ -134,23 +185,32 @@
     owed: usize,
     actions: Vec<Action>,
     swept: f64,
+    classes: Vec<Class>,
+    /// Replies in doubt, and when each is to be sent again.
+    doubted: Vec<(f64, RequestId)>,
+    /// Requests whose caller has gone before they were started, to be let go.
+    gone: Vec<RequestId>,
 }
 
 impl Core {
     /// A core for a worker that started at `born`, with so many bytes for kept results.
     pub fn new(settings: Settings, born: f64, result_bytes: usize, out: &mut Vec<Command>) -> Self {
         let mut actions = Vec::new();
+        let classes = settings.classes.clone();
         let controller = Controller::new(settings, born, &mut actions);
         let mut core = Core {
             controller,
             requests: HashMap::new(),
             names: HashMap::new(),
-            keys: Keys::new(result_bytes),
+            keys: Keys::new(result_bytes, (result_bytes / BYTES_A_KEY).max(KEYS_LEAST)),
             prints: RandomState::new(),
             next: 0,
             owed: 0,
             actions,
             swept: born,
+            classes,
+            doubted: Vec::new(),
+            gone: Vec::new(),
         };
         core.carry_out(born, &mut VecDeque::new(), out);
         core
@@ -171,13 +231,12 @@
         let mut events = VecDeque::new();
         for input in inputs {
             self.take(now, input, &mut events, out);
-            while let Some(event) = events.pop_front() {
-                let mut actions = std::mem::take(&mut self.actions);
-                self.controller.handle(now, event, &mut actions);
-                self.actions = actions;
-                self.carry_out(now, &mut events, out);
+            self.settle(now, &mut events, out);
+            while let Some(id) = self.gone.pop() {
+                self.let_go(id);
             }
         }
+        self.resume_doubted(now, out);
         if now - self.swept >= 1.0 {
             self.swept = now;
             self.keys.sweep(now);
@@ -187,18 +246,36 @@
         self.controller.take_released();
     }
 
+    /// Tells the controller what has happened and carries out what it makes of it.
+    fn settle(&mut self, now: f64, events: &mut VecDeque<Event>, out: &mut Vec<Command>) {
+        while let Some(event) = events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.controller.handle(now, event, &mut actions);
+            self.actions = actions;
+            self.carry_out(now, events, out);
+        }
+    }
+
     fn take(&mut self, now: f64, input: Input, events: &mut VecDeque<Event>, out: &mut Vec<Command>) {
         match input {
             Input::Arrived(request) => events.extend(self.arrived(now, request, out)),
             Input::RunEnded { name, outcome, result } => {
                 if let Some(&id) = self.names.get(&name) {
-                    self.run_ended(id, outcome, result, events, out);
+                    // Nothing was started, as the request is over. Where its run was commanded twice, that
+                    // proves less: then its key stays as it is.
+                    let once = |h: &Held| !h.twice && matches!(h.sent, Some((_, Sent::Run)));
+                    if outcome == Outcome::TooLate && self.requests.get(&id).is_some_and(once) {
+                        self.never_ran(id, refused(), events, out);
+                    } else {
+                        self.run_ended(id, outcome, result, events, out);
+                    }
                 }
             }
             Input::AtCall { name, body, mark } => {
                 let id = self.names.get(&name).copied();
                 if let Some((id, held)) = id.and_then(|id| Some((id, self.requests.get_mut(&id)?))) {
                     held.at_call = Some((body, mark));
+                    held.sent = None;
                     events.push_back(Event::AtCall(id));
                 }
             }
@@ -211,14 +288,34 @@
                     return;
                 }
                 if let (Outcome::Ok, Some(reply)) = (outcome, reply) {
-                    held.at_call = None;
+                    let mark = held.at_call.take().map_or(0, |(_, mark)| mark);
+                    held.sent = Some((now, Sent::Resume(reply.clone(), mark)));
                     out.push(Command::Resume { name, reply });
                 }
                 events.push_back(Event::CallEnded { id, outcome });
             }
             Input::NeverRan { name } => {
                 if let Some(&id) = self.names.get(&name) {
-                    self.never_ran(id, events, out);
+                    self.never_ran(id, refused(), events, out);
+                }
+            }
+            // To the controller it is a start that came too late: what a peer makes up is no sign of bad health.
+            Input::Unknown { name } => {
+                if let Some(&id) = self.names.get(&name) {
+                    self.never_ran(id, Answer::Failed, events, out);
+                }
+            }
+            Input::InDoubt { from, to } => self.ask_again(now, from, to, out),
+            Input::Gone(ticket) => {
+                let owed = self.requests.iter().find(|(_, h)| h.request.ticket == ticket && !h.answered);
+                let Some(id) = owed.map(|(id, _)| *id) else { return };
+                let Some(held) = self.requests.get_mut(&id) else { return };
+                held.answered = true;
+                self.owed -= 1;
+                // A run goes on, and its result is kept for the next try.
+                if !held.started {
+                    events.push_back(Event::CallerGone(id));
+                    self.gone.push(id);
                 }
             }
             Input::RunsLost => {
@@ -245,6 +342,10 @@
             request.key.clone().map(|key| KeyName { class: request.class, tenant: request.tenant, key });
         let print = key.as_ref().map_or(0, |_| self.prints.hash_one(&request.body));
         let repeats = key.as_ref().and_then(|k| self.keys.linked(k, arrived));
+        if key.is_some() && repeats.is_none() && self.keys.full() {
+            out.push(Command::Answer(request.ticket, refused()));
+            return None;
+        }
         // Guards the kept result: all tries of one request carry the same body, so this is another request, and
         // whoever sent it must not be served with what a run made for the first.
         if key.as_ref().is_some_and(|k| repeats.is_some() && self.keys.print(k) != Some(print)) {
@@ -269,9 +370,10 @@
         self.owed += 1;
         let due = now + request.patience_s;
         let (answered, started, calling) = (false, false, false);
+        let (at_call, sent, twice) = (None, None, false);
         self.requests.insert(
             id,
-            Held { request, due, arrived, print, answered, started, key, at_call: None, calling },
+            Held { request, due, arrived, print, answered, started, key, at_call, calling, sent, twice },
         );
         Some(event)
     }
@@ -323,7 +425,13 @@
 
     /// A run that provably never began is no run: it and what waits for its key are turned away, and the key is
     /// free for a later try.
-    fn never_ran(&mut self, id: RequestId, events: &mut VecDeque<Event>, out: &mut Vec<Command>) {
+    fn never_ran(
+        &mut self,
+        id: RequestId,
+        answer: Answer,
+        events: &mut VecDeque<Event>,
+        out: &mut Vec<Command>,
+    ) {
         let Some(held) = self.requests.get(&id) else { return };
         let mut over = vec![id];
         if let Some(key) = held.key.clone() {
@@ -333,7 +441,7 @@
             self.keys.forget(&key, id);
         }
         for id in over.into_iter().filter(|id| self.requests.contains_key(id)).collect::<Vec<_>>() {
-            self.answer(id, Answer::Refused { stay_away_s: COME_BACK_S, no_other: false }, out);
+            self.answer(id, answer.clone(), out);
             self.remove(id);
             events.push_back(Event::RunEnded { id, outcome: Outcome::TooLate });
         }
@@ -368,7 +476,8 @@
                 Action::Start(id) => {
                     let Some(held) = self.requests.get_mut(&id) else { continue };
                     held.started = true;
-                    let body = std::mem::take(&mut held.request.body);
+                    held.sent = Some((now, Sent::Run));
+                    let body = held.request.body.clone();
                     let (name, class) = (held.request.name.clone(), held.request.class);
                     out.push(Command::Run { name, class, body, due: held.due });
                 }
@@ -400,11 +509,13 @@
                     let Some((body, _)) = held.at_call.clone() else { continue };
                     held.calling = true;
                     let name = held.request.name.clone();
-                    out.push(Command::Call { name, body, for_s: (until_s - now).max(0.0) });
+                    let again = self.classes[held.request.class].effect == Effect::Safe;
+                    out.push(Command::Call { name, body, for_s: (until_s - now).max(0.0), again });
                 }
                 Action::SkipCall(id) => {
                     let Some(held) = self.requests.get_mut(&id) else { continue };
                     if let Some((_, mark)) = held.at_call.take() {
+                        held.sent = Some((now, Sent::Skip(mark)));
                         out.push(Command::SkipCall { name: held.request.name.clone(), mark });
                     }
                 }
@@ -420,6 +531,56 @@
         self.actions = actions;
     }
 
+    /// Finds out what still runs after a link broke: each command that may have been lost is given again. Guards
+    /// the run slots, which lost runs would hold. A run that goes on takes no harm from a second command to start,
+    /// one that is over is not begun anew, and a second skip names the call that it is for. A reply names none:
+    /// it is left out where that is allowed, and else sent again when its run must be standing at that call.
+    fn ask_again(&mut self, now: f64, from: f64, to: f64, out: &mut Vec<Command>) {
+        let doubted = |h: &Held| h.sent.as_ref().is_some_and(|(at, _)| (from..to).contains(at));
+        let mut ids: Vec<RequestId> =
+            self.requests.iter().filter(|(_, h)| doubted(h)).map(|(id, _)| *id).collect();
+        ids.sort_unstable();
+        for id in ids {
+            let Some(held) = self.requests.get_mut(&id) else { continue };
+            let (name, class) = (held.request.name.clone(), held.request.class);
+            let skip = match &held.sent {
+                Some((_, Sent::Run)) => {
+                    held.twice = true;
+                    let body = held.request.body.clone();
+                    out.push(Command::Run { name, class, body, due: held.due });
+                    held.sent = Some((now, Sent::Run));
+                    continue;
+                }
+                Some((_, Sent::Resume(_, mark))) if self.classes[class].skipped_worth > 0.0 => *mark,
+                Some((_, Sent::Skip(mark))) => *mark,
+                _ => {
+                    self.doubted.push((now + self.classes[class].aim_s * REPLY_AGAIN_OF_AIM, id));
+                    continue;
+                }
+            };
+            held.sent = Some((now, Sent::Skip(skip)));
+            out.push(Command::SkipCall { name, mark: skip });
+        }
+    }
+
+    /// Sends the replies again of which nothing has been heard for long enough.
+    fn resume_doubted(&mut self, now: f64, out: &mut Vec<Command>) {
+        let requests = &mut self.requests;
+        self.doubted.retain(|(at, id)| {
+            if now < *at {
+                return true;
+            }
+            if let Some(held) = requests.get_mut(id) {
+                if let Some((when, Sent::Resume(reply, _))) = &mut held.sent {
+                    *when = now;
+                    let (name, reply) = (held.request.name.clone(), reply.clone());
+                    out.push(Command::Resume { name, reply });
+                }
+            }
+            false
+        });
+    }
+
     /// An answered request that never ran leaves the table, and its key with it; a run goes on to its end.
     fn let_go(&mut self, id: RequestId) {
         let Some(held) = self.requests.get(&id).filter(|h| !h.started) else { return };
@@ -432,7 +593,7 @@
         self.remove(id);
     }
 
-    /// Guards the run slots: a command lost with a broken link is never sent twice, so its run may never end.
+    /// Guards the run slots: a run whose end never comes, for whatever reason, would hold one for ever.
     fn drop_silent_runs(&mut self, now: f64, out: &mut Vec<Command>) {
         let silent = |h: &Held| h.started && now > h.due + SILENT_RUN_S;
         let mut gone: Vec<RequestId> =
@@ -442,12 +603,7 @@
         for id in gone {
             self.run_ended(id, Outcome::Stopped, None, &mut events, out);
         }
-        while let Some(event) = events.pop_front() {
-            let mut actions = std::mem::take(&mut self.actions);
-            self.controller.handle(now, event, &mut actions);
-            self.actions = actions;
-            self.carry_out(now, &mut events, out);
-        }
+        self.settle(now, &mut events, out);
     }
 
     /// When a request in hand reached the machine; for tests and logs.
@@ -475,7 +631,8 @@
             effect,
             window_s: 10.0,
             calls: true,
-            ..Class::default()
+            skipped_worth: if effect == Effect::Safe { 0.6 } else { 0.0 },
+            late_worth: 0.0,
         };
         Settings {
             cores: 2,
@@ -633,6 +790,84 @@
         assert_eq!(p.core.owed(), 0);
     }
 
+    /// Lost commands held their run slots until long after their due time.
+    #[test]
+    fn what_a_broken_link_may_have_lost_is_given_again_and_a_reply_not_to_the_next_call() {
+        let mut p = Play::new();
+        p.arrive(1, "");
+        p.arrive(2, "k");
+        let at_call = |number: u64, mark| Input::AtCall {
+            name: format!("r{number}").into(),
+            body: Rc::from(*b"?"),
+            mark,
+        };
+        let reply = |number: u64| Input::CallEnded {
+            name: format!("r{number}").into(),
+            outcome: Outcome::Ok,
+            reply: Some(Rc::from(*b"!")),
+        };
+        let doubt = |from, to| Input::InDoubt { from, to };
+        // Both starts are in doubt, but one run has been heard of since.
+        p.tell(at_call(1, 7));
+        let out = p.tell(doubt(-0.1, 0.1));
+        assert!(
+            matches!(&out[..], [Command::Run { name, body, .. }] if &**name == "r2" && **body == *b"body")
+        );
+        assert_eq!(p.tell(doubt(0.1, 0.2)), vec![]);
+        // A reply in doubt is left out where that keeps a part of the worth.
+        p.tell(reply(1));
+        assert!(p.tell(doubt(-0.1, 0.1)).contains(&Command::SkipCall { name: "r1".into(), mark: 7 }));
+        // Else it is sent again when its run has been silent for long, and not once the run has gone on.
+        p.tell(at_call(2, 8));
+        p.tell(reply(2));
+        assert!(!p.tell(doubt(-0.1, 0.1)).iter().any(|c| matches!(c, Command::Resume { .. })));
+        let out = p.pass(1.0);
+        assert!(out.iter().any(|c| matches!(c, Command::Resume { name, .. } if &**name == "r2")), "{out:?}");
+        p.tell(at_call(2, 9));
+        p.tell(reply(2));
+        p.tell(doubt(0.9, 1.1));
+        p.tell(at_call(2, 10));
+        assert!(!p.pass(1.0).iter().any(|c| matches!(c, Command::Resume { .. })));
+    }
+
+    #[test]
+    fn a_start_that_came_too_late_frees_its_key_unless_it_was_given_twice() {
+        let mut p = Play::new();
+        p.arrive(1, "k");
+        assert_eq!(answers(&p.end(1, Outcome::TooLate, b"")), vec![(1, refused())]);
+        assert_eq!(runs(&p.arrive(2, "k")), 1);
+        p.tell(Input::InDoubt { from: -0.1, to: 0.1 });
+        assert_eq!(answers(&p.end(2, Outcome::TooLate, b"")), vec![(2, Answer::Failed)]);
+        assert_eq!(runs(&p.arrive(3, "k")), 0);
+    }
+
+    /// Made-up requests counted as failed runs, and the worker took itself for sick.
+    #[test]
+    fn requests_that_the_backend_does_not_know_are_no_sign_of_bad_health() {
+        let mut p = Play::new();
+        for number in 0..20 {
+            p.arrive(number, "");
+            let out = p.tell(Input::Unknown { name: format!("r{number}").into() });
+            assert_eq!(out, vec![Command::Answer(Ticket(number), Answer::Failed)]);
+        }
+    }
+
+    #[test]
+    fn a_caller_that_is_gone_is_forgotten_while_held_and_its_run_goes_on() {
+        let mut p = Play::new();
+        p.arrive(1, "k");
+        p.arrive(2, "");
+        p.arrive(3, "");
+        p.arrive(4, "l");
+        for number in [1, 3, 4] {
+            assert_eq!(p.tell(Input::Gone(Ticket(number))), vec![]);
+        }
+        assert_eq!((p.core.owed(), p.core.knows("r1"), p.core.knows("r3")), (1, true, false));
+        assert_eq!(p.end(1, Outcome::Ok, b"done"), vec![]);
+        assert_eq!(answers(&p.arrive(5, "k")), vec![(5, served(b"done"))]);
+        assert_eq!(runs(&p.arrive(6, "l")), 1);
+    }
+
     #[test]
     fn a_run_that_never_ends_gives_its_slot_back() {
         let mut p = Play::new();
@@ -658,9 +893,8 @@
                 p.now += 0.004;
                 let some: Rc<str> = format!("r{}", roll(count + 1)).into();
                 let reply = || Some(Rc::from(*b"!"));
-                let outcomes =
-                    [Outcome::Ok, Outcome::Error, Outcome::Stopped, Outcome::TooLate, Outcome::Broken];
-                let outcome = outcomes[roll(5) as usize];
+                let outcomes = [Outcome::Ok, Outcome::Error, Outcome::Stopped, Outcome::Broken];
+                let outcome = outcomes[roll(4) as usize];
                 let out = match roll(8) {
                     0..=2 if p.now < 4.0 => {
                         let key = ["", "a", "b", "c"][roll(4) as usize];
--- a/src/net/ajp_backend.rs
+++ b/src/net/ajp_backend.rs
@@ -112,7 +112,7 @@
         run.tries += 1;
         run.mark = None;
         // Kept connections may all be stale: beyond them each server is tried once.
-        let idle = take_idle(&mut self.connections, now, IDLE_KEEP_S);
+        let idle = take_idle(&mut self.connections, now, 0.0, IDLE_KEEP_S);
         let id = match idle {
             Some(id) => id,
             None if run.tries <= self.settings.servers.len() + IDLE_MOST => match self.open(now) {
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -210,13 +210,6 @@
         Ok(())
     }
 
-    /// Takes back the chunks of which not a byte has been written.
-    pub fn unsent(&mut self) -> Vec<Vec<u8>> {
-        let begun = usize::from(self.written > 0);
-        let rest = self.output.split_off(begun.min(self.output.len()));
-        rest.into_iter().map(|c| c.bytes().to_vec()).collect()
-    }
-
     /// Says that no more will be written.
     pub fn end_writing(&self) {
         // A peer that has gone already needs no word of it.
--- a/src/net/executor.rs
+++ b/src/net/executor.rs
@@ -1,7 +1,8 @@
 //! The link to the executor: one JSON object a line, notices numbered, taken up again where it broke.
 //!
-//! A command that has been given to the system is never sent twice: the executor may have carried it out.
-//! Commands of which no byte has gone follow on the next link.
+//! Commands of the last moments before a break may be lost with it. The next link begins with JOIN and a question
+//! that serves as a fence: once it is answered, all notices of before have been read, and the core is told which
+//! commands are in doubt. It alone decides what is given again.
 
 use super::buffer::{Filled, Link};
 use super::fields::Catalogue;
@@ -21,6 +22,8 @@
 const LINE_MOST: usize = 64 * 1024;
 /// Commands that wait for the executor to read or to come back (bytes). A held request is smaller.
 const QUEUE_MOST: usize = 4 * 1024 * 1024;
+/// What was commanded so long before a break may be lost with it: 50 ms, and what this loop may lag (seconds).
+const DOUBT_S: f64 = 0.15;
 /// First and longest wait before a new link is tried (seconds).
 const RELINK_S: (f64, f64) = (0.02, 0.5);
 /// Gauges older than this say nothing any more (seconds).
@@ -48,6 +51,8 @@
     #[serde(borrow)]
     data: Option<Cow<'a, str>>,
     gauges: Option<Vec<f64>>,
+    #[serde(borrow, rename = "ref")]
+    tag: Option<Cow<'a, str>>,
 }
 
 /// What the executor says of its own start.
@@ -65,9 +70,14 @@
     /// The link that has been joined, and the one that is being set up to take its place.
     link: Option<(u64, Link)>,
     next: Option<(u64, Link)>,
-    /// Commands for the next link.
+    /// Commands for the next link, given since the last one broke.
     waiting: Vec<Vec<u8>>,
     waiting_bytes: usize,
+    /// When all commands were last seen to have gone out.
+    clear: f64,
+    /// The span of commands in doubt since the last break, and whether the new link has been asked its fence.
+    doubt: Option<(f64, f64)>,
+    fence: u64,
     last: u64,
     /// When it last said anything, on the loop's clock.
     heard: f64,
@@ -87,6 +97,9 @@
             next: None,
             waiting: Vec::new(),
             waiting_bytes: 0,
+            clear: 0.0,
+            doubt: None,
+            fence: 0,
             last: 0,
             heard: 0.0,
             welcome: None,
@@ -130,11 +143,12 @@
 
     /// The link is gone, broken or given up for another.
     fn lose(&mut self, now: f64, why: &str, log: &mut Log) {
-        if let Some((_, mut link)) = self.link.take() {
+        if let Some((_, link)) = self.link.take() {
             log.line(&format!("executor: link lost: {why}"));
-            // The JOIN, and questions for the gauges, mean nothing to the next link.
-            self.waiting = link.unsent().into_iter().filter(|c| !c.starts_with(METER_START)).collect();
-            self.waiting_bytes = self.waiting.iter().map(Vec::len).sum();
+            let since = if link.queued() > 0 { self.clear } else { now };
+            // A break before the fence of an earlier one leaves both spans in doubt.
+            let from = self.doubt.map_or(f64::INFINITY, |(from, _)| from).min(since - DOUBT_S);
+            self.doubt = Some((from, now));
         }
         if self.next.is_none() {
             self.try_later(now);
@@ -178,8 +192,13 @@
             self.lose(now, "another takes its place", log);
             if let Some((_, link)) = &mut self.next {
                 link.push(line(&Order::Join { n: self.last }));
+                if self.doubt.is_some() {
+                    self.fence += 1;
+                    link.push(line(&Order::Meter { r#ref: &format!("f{}", self.fence) }));
+                }
                 self.waiting.drain(..).for_each(|command| link.push(command));
                 self.waiting_bytes = 0;
+                self.clear = now;
             }
             self.link = self.next.take();
             self.read(now, inputs, log);
@@ -191,21 +210,21 @@
             let Some((_, link)) = &mut self.link else { return };
             let filled = link.fill();
             let mut taken = 0;
-            let mut bad = None;
+            let mut bad = false;
             let data = link.data();
             let mut notices = Vec::new();
             while let Some(end) = data[taken..].iter().position(|b| *b == b'\n') {
                 match serde_json::from_slice::<Notice>(&data[taken..taken + end]) {
                     Ok(notice) => notices.push(notice),
-                    Err(e) => bad = Some(format!("executor: a line is no notice: {e}")),
+                    Err(_) => bad = true,
                 }
                 taken += end + 1;
             }
             let full = taken == 0 && data.len() >= LINE_MOST;
             let news: Vec<News> = notices.into_iter().map(News::from).collect();
             link.consume(taken);
-            if let Some(bad) = bad {
-                log.line(&bad);
+            if bad {
+                log.often("executor: a line is no notice");
             }
             for notice in news {
                 self.take(now, notice, inputs, log);
@@ -258,7 +277,7 @@
                     ("NOOP", _) => (Outcome::TooLate, None),
                     ("FAIL", _) => (Outcome::Error, None),
                     _ => {
-                        log.line("executor: an EXIT can't be read");
+                        log.often("executor: an EXIT can't be read");
                         (Outcome::Error, None)
                     }
                 };
@@ -270,22 +289,29 @@
                     Ok(body) => {
                         inputs.push(Input::AtCall { name, body: body.into(), mark: news.n.unwrap_or(0) })
                     }
-                    Err(_) => log.line("executor: a CALLOUT can't be read"),
+                    Err(_) => log.often("executor: a CALLOUT can't be read"),
                 }
             }
             ("METERS", _) => {
                 if let Some(values) = news.gauges {
                     self.gauges = Some((now, read_gauges(&self.gauge_names, &values)));
                 }
+                let tag = news.tag.as_deref().unwrap_or("");
+                if tag.strip_prefix('f').and_then(|n| n.parse().ok()) == Some(self.fence) {
+                    if let Some((from, to)) = self.doubt.take() {
+                        inputs.push(Input::InDoubt { from, to });
+                    }
+                }
             }
-            // A command that was not carried out ends the run: it would wait for nothing.
-            ("BAD", Some(name)) => {
-                log.line(&format!("executor: {state} was not carried out"));
-                inputs.push(Input::RunEnded { name, outcome: Outcome::Error, result: None });
+            // What the executor knows of no request is not run. Other commands that it does not carry out change
+            // nothing: a skip or a reply that was sent again may find its run gone on.
+            ("BAD", Some(name)) if state == "EXEC" => {
+                log.often("executor: a request is unknown there");
+                inputs.push(Input::Unknown { name });
             }
-            ("BAD", None) => log.line(&format!("executor: {state} was not carried out")),
+            ("BAD", _) => log.often("executor: a command was not carried out"),
             ("LOG" | "DIAGNOSED", _) => {}
-            _ => log.line("executor: a notice of an unknown kind"),
+            _ => log.often("executor: a notice of an unknown kind"),
         }
     }
 
@@ -325,14 +351,17 @@
     }
 
     pub fn flush(&mut self, now: f64, log: &mut Log) {
-        if let Some(Err(e)) = self.link.as_mut().map(|(_, link)| link.flush()) {
+        let Some((_, link)) = &mut self.link else { return };
+        let flushed = link.flush();
+        if link.queued() == 0 {
+            self.clear = now;
+        }
+        if let Err(e) = flushed {
             self.lose(now, &e.to_string(), log);
         }
     }
 }
 
-const METER_START: &[u8] = br#"{"type":"METER""#;
-
 fn line(order: &Order) -> Vec<u8> {
     // These types hold nothing that JSON can't.
     let mut text = serde_json::to_vec(order).unwrap_or_default();
@@ -349,6 +378,7 @@
     took: Option<f64>,
     data: Option<String>,
     gauges: Option<Vec<f64>>,
+    tag: Option<String>,
 }
 
 impl From<Notice<'_>> for News {
@@ -361,6 +391,7 @@
             took: n.took,
             data: n.data.map(Cow::into_owned),
             gauges: n.gauges,
+            tag: n.tag.map(Cow::into_owned),
         }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -31,6 +31,7 @@
 use poll::{Gathered, Place, Poll, ACCEPT_PAUSE_S};
 use records::Records;
 use registry::{Registry, BEAT_S};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use wheel::{Timer, Wheel};
@@ -49,6 +50,8 @@
 const RESULT_PART: f64 = 8.0;
 /// What callers are told when the executor is not up yet (seconds).
 const NOT_UP_S: f64 = 1.0;
+/// How often the log repeats what peers can bring about at will (seconds).
+const OFTEN_S: f64 = 10.0;
 /// Log lines a second; what a peer can bring about must not fill a disk.
 const LOG_LINES: u32 = 20;
 
@@ -82,6 +85,8 @@
     lines: u32,
     left_out: u32,
     now: f64,
+    /// Lines that may come with every request: when each was last written, and how often it came since.
+    often: HashMap<&'static str, (f64, u32)>,
 }
 
 impl Log {
@@ -95,6 +100,18 @@
         }
     }
 
+    /// A line that peers can bring about over and over: once in a while, with a count.
+    pub fn often(&mut self, text: &'static str) {
+        let now = self.now;
+        let (at, count) = self.often.entry(text).or_insert((f64::NEG_INFINITY, 0));
+        *count += 1;
+        if now - *at >= OFTEN_S {
+            let count = std::mem::take(count);
+            *at = now;
+            self.line(&if count > 1 { format!("{text}, {count} times") } else { text.to_owned() });
+        }
+    }
+
     pub fn line(&mut self, text: &str) {
         self.lines += 1;
         if self.lines <= LOG_LINES {
@@ -480,8 +497,8 @@
                     inputs.push(Input::NeverRan { name });
                 }
             }
-            Command::Call { name, body, for_s } => match &mut self.records {
-                Some(records) => records.call(now, name, body, for_s, &mut self.wheel),
+            Command::Call { name, body, for_s, again } => match &mut self.records {
+                Some(records) => records.call(now, name, body, for_s, again, &mut self.wheel),
                 None => inputs.push(Input::CallEnded { name, outcome: Outcome::Unreachable, reply: None }),
             },
             Command::GiveUpCall(name) => {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -14,10 +14,12 @@
     fn idle_since(&self) -> Option<f64>;
 }
 
-/// Takes the connection used last, if it is sound so far as can be seen; others are closed.
-pub fn take_idle<C: Kept>(all: &mut HashMap<u64, C>, now: f64, keep_s: f64) -> Option<u64> {
+/// Takes the connection used last, but not within the last `quiet_s`, if it is sound so far as can be seen; others
+/// are closed.
+pub fn take_idle<C: Kept>(all: &mut HashMap<u64, C>, now: f64, quiet_s: f64, keep_s: f64) -> Option<u64> {
     loop {
         let idle = all.iter().filter_map(|(id, c)| Some((*id, c.idle_since()?)));
+        let idle = idle.filter(|(_, since)| now - since >= quiet_s);
         let (id, since) = idle.max_by(|a, b| a.1.total_cmp(&b.1))?;
         let link = all.get_mut(&id)?.link();
         // Guards against a request lost to a connection that the peer has just closed.
--- a/src/net/records.rs
+++ b/src/net/records.rs
@@ -12,11 +12,15 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// A reply's head and body at most (bytes).
+/// A reply's head, and both with its body, at most (bytes).
+const HEAD_MOST: usize = 8 * 1024;
 const REPLY_MOST: usize = 64 * 1024;
-const HEADERS_MOST: usize = 32;
+const HEADERS_MOST: usize = 64;
 /// The service closes a connection idle for 10 s; one that may be about to close is not used (seconds).
 const IDLE_KEEP_S: f64 = 5.0;
+/// A connection is used again only after so long without another byte: what comes late behind a reply would be
+/// taken for the reply to the next call (seconds).
+const QUIET_S: f64 = 0.004;
 /// A refused connection comes back at once and is tried again at once; this keeps the two from spinning while
 /// the service is down (seconds).
 const REFUSED_S: f64 = 0.04;
@@ -86,11 +90,21 @@
         !self.touched.is_empty()
     }
 
-    /// Places a call for a run, to be given up after `for_s`. A second call for a run gives up the first.
-    pub fn call(&mut self, now: f64, name: Rc<str>, body: Rc<[u8]>, for_s: f64, wheel: &mut Wheel) {
+    /// Places a call for a run, to be given up after `for_s`. A second call for a run gives up the first. One that
+    /// can't be made `again` goes on a new connection: a kept one may be reset by the call, which proves nothing.
+    pub fn call(
+        &mut self,
+        now: f64,
+        name: Rc<str>,
+        body: Rc<[u8]>,
+        for_s: f64,
+        again: bool,
+        wheel: &mut Wheel,
+    ) {
         self.give_up(&name);
         let number = self.poll.fresh();
-        let Some(id) = take_idle(&mut self.connections, now, IDLE_KEEP_S).or_else(|| self.open(now)) else {
+        let kept = if again { take_idle(&mut self.connections, now, QUIET_S, IDLE_KEEP_S) } else { None };
+        let Some(id) = kept.or_else(|| self.open(now)) else {
             // No descriptor is left, or the system refused at once: the call never left.
             return self.refuse(now, name, wheel);
         };
@@ -187,11 +201,12 @@
                 let body = c.link.data().get(reply.body).unwrap_or(&[]);
                 let body = (reply.outcome == Outcome::Ok).then(|| Rc::from(body));
                 c.link.consume(reply.length);
-                (reply.outcome, body, reply.keep && filled == Filled::Open)
+                // Bytes beyond the reply spoil the connection, not the reply.
+                (reply.outcome, body, reply.keep && filled == Filled::Open && c.link.data().is_empty())
             }
             // What can't be read proves nothing, and neither does a break.
             Err(why) => {
-                log.line(&format!("records service: {why}"));
+                log.often(why);
                 (Outcome::Broken, None, false)
             }
             Ok(None) if filled != Filled::Open || flushed.is_err() => (Outcome::Broken, None, false),
@@ -222,27 +237,48 @@
     keep: bool,
 }
 
-/// Reads a reply where it lies; `None` while it is not whole.
+/// Reads a reply where it lies, behind interim ones if there are any; `None` while it is not whole.
 fn parse(data: &[u8]) -> Result<Option<Reply>, &'static str> {
-    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
-    let mut head = httparse::Response::new(&mut headers);
-    let start = match head.parse(data) {
-        Ok(httparse::Status::Complete(n)) => n,
-        Ok(httparse::Status::Partial) if data.len() < REPLY_MOST => return Ok(None),
-        _ => return Err("a reply can't be read"),
-    };
+    let mut start = 0;
+    loop {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+        let mut head = httparse::Response::new(&mut headers);
+        let rest = data.get(start..).unwrap_or(&[]);
+        match head.parse(rest) {
+            Ok(httparse::Status::Complete(n)) if start + n <= HEAD_MOST => start += n,
+            Ok(httparse::Status::Partial) if data.len() < HEAD_MOST => return Ok(None),
+            _ => return Err("records service: the head of a reply can't be read"),
+        }
+        // An interim answer has no body, and the reply follows it. A change of protocol was not asked for.
+        match head.code {
+            Some(101) => return Err("records service: a reply changes the protocol"),
+            Some(100..=199) => {}
+            _ => return whole(&head, start, data),
+        }
+    }
+}
+
+fn whole(head: &httparse::Response, start: usize, data: &[u8]) -> Result<Option<Reply>, &'static str> {
     let (mut length, mut never_ran, mut keep) = (None, false, head.version == Some(1));
     for h in head.headers.iter() {
         let value = std::str::from_utf8(h.value).unwrap_or("").trim();
         if h.name.eq_ignore_ascii_case("Content-Length") {
-            length = value.parse::<usize>().ok();
+            let digits = value.bytes().all(|b| b.is_ascii_digit());
+            // Two lengths, or one with a sign, could be read two ways.
+            length = value.parse::<usize>().ok().filter(|_| digits && length.is_none());
+            if length.is_none() {
+                return Err("records service: a reply has no fit Content-Length");
+            }
+        } else if h.name.eq_ignore_ascii_case("Transfer-Encoding") {
+            return Err("records service: a reply comes in an encoding that was not asked for");
         } else if h.name.eq_ignore_ascii_case("Op-Not-Begun") {
             never_ran = value == "1";
         } else if h.name.eq_ignore_ascii_case("Connection") {
             keep &= !value.eq_ignore_ascii_case("close");
         }
     }
-    let length = length.filter(|n| start + n <= REPLY_MOST).ok_or("a reply has no fit Content-Length")?;
+    let fit = |n: &usize| *n <= REPLY_MOST - HEAD_MOST;
+    let length = length.filter(fit).ok_or("records service: a reply has no fit Content-Length")?;
     if data.len() < start + length {
         return Ok(None);
     }
@@ -278,6 +314,22 @@
         assert_eq!(outcome("504 Late"), Outcome::TimedOut);
         assert_eq!(outcome("409 Gone\r\nOp-Not-Begun: 1"), Outcome::TooLate);
         assert!(parse(b"nonsense\r\n\r\n").is_err());
+        assert_eq!(
+            outcome("100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 200 OK"),
+            Outcome::Ok
+        );
+        // Noise, an endless head, lengths that do not fit: told at once, whatever else would come.
+        for bad in [
+            "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok",
+            "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok",
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\nok",
+            "HTTP/1.1 200 OK\r\n\r\nok",
+            &format!("HTTP/1.1 200 OK\r\nA: {}", "a".repeat(HEAD_MOST)),
+            &"HTTP/1.1 100 Continue\r\n\r\n".repeat(HEAD_MOST / 20),
+        ] {
+            assert!(parse(bad.as_bytes()).is_err(), "{bad:.60}");
+        }
     }
 
     /// One wait of a loop of its own, and what the pool makes of it.
@@ -301,7 +353,7 @@
         let mut records = Records::new(&Poll::new(events.handle(), 8), listener.local_addr().unwrap());
         let mut wheel = Wheel::new(0.0);
         let body: Rc<[u8]> = Rc::from(*b"first");
-        records.call(0.0, "r1".into(), body, 5.0, &mut wheel);
+        records.call(0.0, "r1".into(), body, 5.0, true, &mut wheel);
         let (mut service, _) = listener.accept().unwrap();
         service.set_read_timeout(Some(Duration::from_secs(15))).unwrap();
         turn(&mut events, &mut records, &mut wheel);
@@ -313,9 +365,9 @@
         assert!(matches!(ended, Some(Input::CallEnded { outcome: Outcome::Ok, .. })), "{ended:?}");
         assert!(!records.pending());
         // Now without another wait of the loop.
-        records.call(0.0, "r2".into(), Rc::from(*b"second"), 5.0, &mut wheel);
+        records.call(1.0, "r2".into(), Rc::from(*b"second"), 5.0, true, &mut wheel);
         assert!(records.pending());
-        records.gather(0.0, &mut Vec::new(), &mut wheel, &mut Log::default());
+        records.gather(1.0, &mut Vec::new(), &mut wheel, &mut Log::default());
         let n = service.read(&mut bytes).unwrap();
         assert!(bytes[..n].ends_with(b"second"));
     }
