Close silent and half-sent clients within 2 s, before any router's connection

When the table was full the connection idle for longest went (close_longest_idle), which under a flood is a router's. Checked: a peer that goes on sending after its refusal was read in 10 KB steps and cut off after 1 s, by a reset that can take the refusal with it. A reset showed only when the answer was written, so the core held on for a caller that was gone.

The first request must be whole 2 s after the connection was opened. Where descriptors run out, those that never asked go first, then those being closed, those that asked once and rest, and the last rank only while no young silent one is there. What comes behind a refusal is dropped unread with MSG_TRUNC for up to 4 s while it flows. A reset forgets what is held for it; a run and its kept result stay. Idle connections give their buffers back. Two tests reserved a port by closing it and could meet another test on it; they now bind without listening.

--- a/src/net/ajp_front.rs
+++ b/src/net/ajp_front.rs
@@ -97,7 +97,7 @@
                 Next::Read => {}
                 Next::Wait => return,
                 Next::Later => break,
-                Next::Close => return self.connections.close(id),
+                Next::Close => return self.connections.gone(id, turn.inputs),
             }
             let filled = c.link.fill();
             if c.stage == Stage::Idle && !c.link.data().is_empty() {
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -2,13 +2,18 @@
 //! queue that is written with gathered writes.
 
 use super::poll::{Place, Poll, Watch};
+use socket2::SockRef;
 use std::collections::VecDeque;
 use std::io::{self, IoSlice, Read, Write};
+use std::mem::MaybeUninit;
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 
 /// Slices handed to one gathered write.
 const GATHER: usize = 16;
+/// Bytes dropped with one call, and the system's flag that drops them without a copy.
+const DISCARD: usize = 64 * 1024;
+const MSG_TRUNC: i32 = 0x20;
 
 /// Bytes to be written: made for this purpose, or shared with whoever else keeps them.
 enum Chunk {
@@ -140,6 +145,35 @@
         }
     }
 
+    /// Reads what is there only to drop it, up to `most` bytes; how it went, and whether anything came. Guards the
+    /// processor: what a peer still sends after its refusal is not even copied.
+    pub fn discard(&mut self, most: usize) -> (Filled, bool) {
+        self.consume(self.input.len());
+        let (mut scratch, mut dropped) = ([MaybeUninit::uninit(); DISCARD], 0);
+        while self.readable && !self.ended && dropped < most {
+            match SockRef::from(&*self.stream).recv_with_flags(&mut scratch, MSG_TRUNC) {
+                Ok(0) => self.ended = true,
+                Ok(n) => dropped += n,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.readable = false,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return (Filled::Broken, dropped > 0),
+            }
+        }
+        (if self.ended { Filled::Ended } else { Filled::Open }, dropped > 0)
+    }
+
+    /// Whether more may be there to be read.
+    pub fn unread(&self) -> bool {
+        self.readable && !self.ended
+    }
+
+    /// Gives back the memory of an idle connection's buffers.
+    pub fn shrink(&mut self) {
+        if self.input.is_empty() && self.output.is_empty() {
+            (self.input, self.output) = (Vec::new(), VecDeque::new());
+        }
+    }
+
     /// What has been read and not yet consumed.
     pub fn data(&self) -> &[u8] {
         &self.input[self.start..]
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -2,20 +2,32 @@
 
 use super::buffer::{Filled, Link};
 use super::poll::{Accepted, Acceptor, Place, Poll};
+use crate::core::{Input, Ticket};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 
-/// How long a request may take to come in whole, an answer to be taken, and a peer to see a close (seconds).
-const SLOW_REQUEST_S: f64 = 10.0;
+/// How long a request may take to come in whole, and the first one of a connection from its very start: a peer that
+/// is silent or sends half a request is closed within 3 s (seconds).
+const SLOW_REQUEST_S: f64 = 2.0;
+/// How long an answer may take to be taken (seconds).
 const SLOW_ANSWER_S: f64 = 10.0;
+/// How long a peer that goes on sending after its refusal is read, so that the close does not reset the answer
+/// away, and how long one that does not see the close (seconds).
 const LINGER_S: f64 = 1.0;
+const LINGER_MOST_S: f64 = 4.0;
+/// What of it is dropped in one step (bytes).
+const DROP_MOST: usize = 1024 * 1024;
+/// A caller that opens a connection has something to ask: one silent for so long may be closed for another (seconds).
+const SILENT_S: f64 = 0.05;
+/// After so long an idle connection keeps no buffers (seconds).
+const REST_S: f64 = 1.0;
 
 /// Steps that one connection may take in a turn: a peer that sends without end must not keep the loop to itself.
 pub const STEPS_MOST: usize = 32;
 
 /// Where a connection is; one request at a time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
 pub enum Stage {
     /// Nothing has come of the next request.
     Idle,
@@ -34,6 +46,11 @@
     pub link: Link,
     pub stage: Stage,
     since: f64,
+    opened: f64,
+    /// When something last came of what is thrown away.
+    heard: f64,
+    /// Requests that came in whole.
+    asked: u32,
     /// To be closed after this answer.
     pub close: bool,
     pub memory: P,
@@ -60,24 +77,27 @@
                 return Next::Close;
             }
             match self.stage {
-                // One request at a time: what comes meanwhile waits in the buffer, then with the system.
+                // One request at a time: what comes meanwhile waits in the buffer, then with the system. A reset
+                // shows in reading alone, and the core need not go on for a caller that is gone.
+                Stage::Asked if self.link.fill() == Filled::Broken => return Next::Close,
                 Stage::Asked => return Next::Wait,
                 Stage::Answering if self.link.queued() > 0 => return Next::Wait,
                 Stage::Answering if self.close => {
                     self.link.end_writing();
+                    self.heard = now;
                     self.step(now, Stage::Closing);
                 }
                 Stage::Answering => self.step(now, Stage::Idle),
                 Stage::Closing => {
-                    let filled = self.link.fill();
-                    let n = self.link.data().len();
-                    self.link.consume(n);
-                    if filled != Filled::Open {
-                        return Next::Close;
-                    }
-                    if n == 0 {
-                        return Next::Wait;
+                    let (filled, came) = self.link.discard(DROP_MOST);
+                    if came {
+                        self.heard = now;
                     }
+                    return match filled {
+                        Filled::Open if self.link.unread() => Next::Later,
+                        Filled::Open => Next::Wait,
+                        _ => Next::Close,
+                    };
                 }
                 Stage::Idle | Stage::Reading => return Next::Read,
             }
@@ -86,8 +106,22 @@
     }
 
     pub fn step(&mut self, now: f64, stage: Stage) {
+        if self.stage == Stage::Reading && matches!(stage, Stage::Asked | Stage::Answering) {
+            self.asked += 1;
+        }
         (self.stage, self.since) = (stage, now);
     }
+
+    /// Who is closed first where descriptors run out: those that never asked, half a request included, then those
+    /// that are being closed anyway, then those that asked once and rest, then others that are idle.
+    fn rank(&self, now: f64) -> Option<u8> {
+        match self.stage {
+            Stage::Idle | Stage::Reading if self.asked == 0 => (now - self.opened >= SILENT_S).then_some(0),
+            Stage::Closing => Some(1),
+            Stage::Idle => Some(if self.asked == 1 && now - self.since >= REST_S { 2 } else { 3 }),
+            _ => None,
+        }
+    }
 }
 
 /// A listener and its connections.
@@ -169,6 +203,13 @@
         self.all.remove(&id);
     }
 
+    /// Closes a connection that is broken; what is owed on it is owed no more.
+    pub fn gone(&mut self, id: u64, inputs: &mut Vec<Input>) {
+        if self.all.remove(&id).is_some_and(|c| c.stage == Stage::Asked) {
+            inputs.push(Input::Gone(Ticket(id)));
+        }
+    }
+
     /// Those that something happened to, each once, in the order in which they were accepted.
     pub fn take_touched(&mut self) -> Vec<u64> {
         let mut touched = std::mem::take(&mut self.touched);
@@ -185,7 +226,7 @@
                 Accepted::Stream(stream) => stream,
                 Accepted::Nobody => return false,
                 // An idle connection may be closed at any time: whoever waits is worth more.
-                Accepted::Full if self.close_longest_idle() => continue,
+                Accepted::Full if self.make_room(now) => continue,
                 // Guards against spinning: whoever waits stays there, so the next try is left to a timer.
                 Accepted::Full | Accepted::Pause => return true,
             };
@@ -194,19 +235,25 @@
                 continue;
             }
             if let Ok(link) = Link::new(&self.poll, stream, (self.place)(id), self.room) {
-                let (stage, since, close, memory) = (Stage::Idle, now, false, P::default());
-                self.all.insert(id, Connection { link, stage, since, close, memory });
+                let (stage, close, memory) = (Stage::Idle, false, P::default());
+                let (since, opened, heard, asked) = (now, now, now, 0);
+                self.all.insert(id, Connection { link, stage, since, opened, heard, asked, close, memory });
                 self.touched.push(id);
             }
         }
         false
     }
 
-    /// `false` where none is idle, or none but what has just been accepted and not yet looked at.
-    fn close_longest_idle(&mut self) -> bool {
-        let idle = self.all.iter().filter(|(id, c)| c.stage == Stage::Idle && !self.touched.contains(id));
-        let longest = idle.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(id, _)| *id);
-        longest.is_some_and(|id| self.all.remove(&id).is_some())
+    /// Closes one connection for another; `false` where none may go. Guards routers against a flood of silent
+    /// clients: while one is here that may turn out to be such, it is waited for, and the last rank stays.
+    fn make_room(&mut self, now: f64) -> bool {
+        let young =
+            |c: &Connection<P>| c.stage <= Stage::Reading && c.asked == 0 && now - c.opened < SILENT_S;
+        let flood = self.all.values().any(young);
+        let ranked = self.all.iter().filter_map(|(id, c)| Some((c.rank(now)?, c.since, *id)));
+        let first = ranked.filter(|(rank, ..)| *rank < 3 || !flood);
+        let first = first.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        first.is_some_and(|(.., id)| self.all.remove(&id).is_some())
     }
 
     /// Closes what has been idle for long, and peers that are too slow to send or to read.
@@ -214,12 +261,20 @@
         self.all.retain(|_, c| {
             let lasts = now - c.since;
             match c.stage {
-                Stage::Idle => lasts < idle_s && !leaving,
+                Stage::Idle if c.asked == 0 => now - c.opened < SLOW_REQUEST_S && !leaving,
+                Stage::Reading if c.asked == 0 => now - c.opened < SLOW_REQUEST_S,
+                Stage::Idle => {
+                    if lasts > REST_S {
+                        c.link.shrink();
+                    }
+                    lasts < idle_s && !leaving
+                }
                 Stage::Reading => lasts < SLOW_REQUEST_S,
                 Stage::Asked => true,
                 Stage::Answering => lasts < SLOW_ANSWER_S,
-                Stage::Closing => lasts < LINGER_S,
+                Stage::Closing => now - c.heard < LINGER_S && lasts < LINGER_MOST_S,
             }
         });
+        self.all.shrink_to(4 * self.all.len());
     }
 }
--- a/src/net/http_front.rs
+++ b/src/net/http_front.rs
@@ -65,7 +65,7 @@
                 Next::Read => {}
                 Next::Wait => return,
                 Next::Later => break,
-                Next::Close => return self.connections.close(id),
+                Next::Close => return self.connections.gone(id, inputs),
             }
             let filled = c.link.fill();
             if c.link.data().is_empty() {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -164,6 +164,7 @@
     left_over: Vec<Input>,
     accept_timer: bool,
     relink_timer: bool,
+    sweep_due: bool,
     done: bool,
 }
 
@@ -255,6 +256,7 @@
             left_over: Vec::new(),
             accept_timer: false,
             relink_timer: false,
+            sweep_due: false,
             done: false,
             clock,
             log,
@@ -338,6 +340,9 @@
         }
         // Guards the last round's outcomes: a run given back there would otherwise never be answered.
         self.left_over = inputs;
+        if std::mem::take(&mut self.sweep_due) {
+            self.sweep();
+        }
         self.follow_leaving();
     }
 
@@ -462,14 +467,7 @@
                 self.wheel.set(now, BEAT_S, Timer::Beat);
             }
             Timer::Sweep => {
-                let closing = self.leaving.as_ref().is_some_and(|l| l.closed.is_some());
-                self.sweep_fronts(now, closing);
-                if let Some(s) = &mut self.servers {
-                    s.sweep(now);
-                }
-                if let Some(r) = &mut self.records {
-                    r.sweep(now);
-                }
+                self.sweep_due = true;
                 self.wheel.set(now, SWEEP_S, Timer::Sweep);
             }
             Timer::Relink => self.relink_timer = false,
@@ -578,6 +576,20 @@
         self.beat(true);
     }
 
+    /// Closes what is idle or too slow. Only after all that is ready has been read: guards requests that lay unread
+    /// while this process was stopped.
+    fn sweep(&mut self) {
+        let now = self.clock.now();
+        let closing = self.leaving.as_ref().is_some_and(|l| l.closed.is_some());
+        self.sweep_fronts(now, closing);
+        if let Some(s) = &mut self.servers {
+            s.sweep(now);
+        }
+        if let Some(r) = &mut self.records {
+            r.sweep(now);
+        }
+    }
+
     fn sweep_fronts(&mut self, now: f64, leaving: bool) {
         self.http.connections.sweep(now, self.idle_s, leaving);
         if let Some(ajp) = &mut self.ajp {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -49,6 +49,14 @@
     }
 }
 
+/// An address that refuses connections until its socket listens; no other test can be given it meanwhile.
+pub fn reserve() -> (socket2::Socket, SocketAddr) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    (socket, address)
+}
+
 /// The worker and all that it speaks to. Dropping it ends the worker.
 pub struct Site {
     child: Child,
@@ -417,4 +425,16 @@
     pub fn closed(&mut self) -> bool {
         matches!(self.reader.read(&mut [0; 16]), Ok(0) | Err(_))
     }
+
+    /// The status of a health check.
+    pub fn ask_check(&mut self) -> u16 {
+        self.write("GET /check HTTP/1.1\r\n\r\n");
+        self.answer().status
+    }
+
+    /// Tears the connection down with a reset.
+    pub fn reset(self) {
+        let stream = self.reader.into_inner();
+        socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
 }
