Give calls a patience and a last moment; refuse nothing that can go without one

Ruled out: crowding by us (2 calls in hand, 9 slots), the processor (0.1 s in a second).

place_calls gives a call 8 mean lengths, or a tenth of the aim, once lengths are known, and not beyond the moment from which the run ends within its aim only without it. What was given up counts for what is survived, not for the room. The bound stays at a quarter of the share. A run that would wait for its call in vain goes on without it at once; must_refuse and start no longer hold back classes that may leave calls out. A hang lasts 0.3 s at least.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -47,6 +47,12 @@
 const CALL_BACK: f64 = 0.75;
 const CALL_SLOW: f64 = 2.2;
 const CALL_STEP: f64 = 0.1;
+/// It never falls under this share of what is survived: slow calls are then no crowd of ours.
+const CALL_FLOOR: f64 = 0.25;
+/// A call is taken for lost after so many mean lengths, but not before this share of an aim.
+const CALL_PATIENCE: f64 = 8.0;
+const CALL_PATIENCE_OF_AIM: f64 = 0.1;
+const REST_LEAST: f64 = 0.25; // Of the length of a run, after its call.
 /// It is looked at after so many ended calls, or the time on calls that so many slow ones take.
 const CALL_WINDOW: f64 = 6.0;
 /// Of a share under one call: the part that may be saved up, and the mean lengths to save up for a call.
@@ -60,6 +66,7 @@
 const SICK_SHARE: f64 = 0.3;
 const SICK_LEAST: f64 = 3.0;
 const SICK_STUCK: f64 = 20.0;
+const SICK_STUCK_S: f64 = 0.3; // Short runs stall for that long when this process gets no core.
 const SICK_MEMORY_S: f64 = 2.0;
 const SWAMPED: f64 = 0.8;
 /// A sick worker tries one run this often (seconds), and is well after so many good ends in a row.
@@ -71,14 +78,6 @@
 const FLOOD: f64 = 1.2;
 /// A caller's next try is far off beyond so many times the longest advice.
 const COME_BACK: f64 = 2.0;
-/// Connections of so many callers a core are left alone; others go when idle for this share of an aim.
-const FEW_CALLERS: f64 = 16.0;
-const IDLE_OF_AIM: f64 = 0.1;
-/// Without marks a storm is plain when runs take so many times as long as usual: the rest goes to reading.
-/// Open connections then bring so many times the capacity; their time falls by this a window at most.
-const STRETCHED: f64 = 1.45;
-const STORM: f64 = 2.0;
-const IDLE_STEP: f64 = 1.6;
 
 /// A queue of the hold: 0 is worth most.
 type Tier = usize;
@@ -227,7 +226,8 @@
         }
     }
     fn nothing_ended(&mut self, now: f64, running: usize, length: f64) {
-        if running as f64 * (now - self.last_end) > SICK_STUCK * length {
+        let lasts = now - self.last_end;
+        if lasts > SICK_STUCK_S && running as f64 * lasts > SICK_STUCK * length {
             (self.sick, self.good_in_row) = (true, 0);
         }
     }
@@ -273,9 +273,12 @@
     fn turned_away(&mut self, now: f64) {
         if now >= self.shut_until {
             self.shut_until = now + self.length().max(SWEEP_S);
-            self.room = (self.room * CALL_BACK).max(self.top.min(1.0) * CALL_START);
+            self.room = (self.room * CALL_BACK).max(self.least());
         }
     }
+    fn least(&self) -> f64 {
+        (self.top.min(1.0) * CALL_START).max(self.top * CALL_FLOOR)
+    }
     fn look(&mut self, waiting: bool) {
         let slow_time = CALL_WINDOW * CALL_SLOW * self.shortest;
         if self.ended < CALL_WINDOW && self.spent < slow_time {
@@ -283,7 +286,7 @@
         }
         let length = self.spent / self.ended.max(1.0);
         if length > CALL_SLOW * self.shortest {
-            self.room = (self.room * CALL_BACK).max(self.top.min(1.0) * CALL_START);
+            self.room = (self.room * CALL_BACK).max(self.least());
         } else if waiting {
             self.room = (self.room + self.top * CALL_STEP).min(self.top);
         }
@@ -329,7 +332,6 @@
     /// The notice to leave: when it came and when the worker is stopped.
     leave: Option<(f64, f64)>,
     level: f64,
-    idle_s: f64,
     sickness: Sickness,
     /// Neither sick nor swamped; what health checks are told.
     well: bool,
@@ -365,7 +367,6 @@
         };
         controller.usual = controller.run_length();
         out.extend([Action::Health(true), Action::WakeIn(SWEEP_S)]);
-        controller.close_idle(&Gauges::default(), out);
         controller.publish(out);
         controller
     }
@@ -377,7 +378,7 @@
             Event::Arrived(arrival) => self.arrived(arrival, out),
             Event::CallerGone(id) => self.caller_gone(id, out),
             Event::RunEnded { id, outcome } => self.run_ended(id, outcome),
-            Event::AtCall(id) => self.at_call(id),
+            Event::AtCall(id) => self.at_call(id, out),
             Event::CallEnded { id, outcome } => self.call_ended(id, outcome, out),
             Event::Leave { in_s } => self.leave = Some((now, now + in_s)),
             Event::Woken(gauges) => self.woken(&gauges, out),
@@ -575,7 +576,8 @@
         let spare = r.aim_at - self.now - pace.plan(r.hint) * RUN_ALLOWANCE;
         let wait = self.call_wait(r.tier);
         let within = if wait > 0.0 { spare } else { r.aim_at - self.now };
-        let no_call = calls && wait + self.call_bound.length() > within;
+        let needs = calls && self.class(r.class).skipped_worth <= 0.0;
+        let no_call = needs && wait + self.call_bound.length() > within;
         let rate = self.capacity();
         let left = (1.0 - self.inflow[..r.tier].iter().sum::<f64>() / rate).max(0.1);
         // A greedy account's excess may wait for as little as it is worth.
@@ -744,9 +746,16 @@
         self.drop_request(id);
     }
 
-    fn at_call(&mut self, id: RequestId) {
+    fn at_call(&mut self, id: RequestId, out: &mut Vec<Action>) {
         self.sickness.last_end = self.now; // A run that comes to a call has not hung.
         self.shift(id, Some(Stage::AtCall));
+        // What would wait in vain goes on at once: the cores may be idle while the dependency is slow.
+        let Some(r) = self.requests.get(&id) else { return };
+        let before = self.parked[..=r.tier].iter().map(BTreeSet::len).sum::<usize>() as f64;
+        let ready_at = self.now + before * self.call_bound.length() / self.call_bound.room;
+        if !r.settled && ready_at > self.last_call(r) {
+            self.leave_call_out(id, out);
+        }
     }
 
     fn call_ended(&mut self, id: RequestId, outcome: Outcome, out: &mut Vec<Action>) {
@@ -818,12 +827,30 @@
         before as f64 * self.call_bound.length() / self.call_bound.room
     }
 
+    /// From then on a run ends within its aim only without its call, where it may leave that out.
+    fn last_call(&self, r: &Request) -> f64 {
+        let length = self.pace[r.class].plan(r.hint);
+        let rest = (length - r.on_cores).max(length * REST_LEAST);
+        let may = self.class(r.class).skipped_worth > 0.0 && self.now < r.aim_at;
+        if may {
+            r.aim_at - rest - 2.0 * SWEEP_S
+        } else {
+            f64::INFINITY
+        }
+    }
+
     fn place_calls(&mut self, out: &mut Vec<Action>) {
         let open = self.now >= self.call_bound.shut_until;
-        while open && self.calling + self.lingering.len() < self.call_bound.room.max(1.0) as usize {
+        // What was given up is no crowd that slows the rest, but counts for what is survived.
+        let (room, most) = (self.call_bound.room.max(1.0) as usize, self.call_bound.top.max(1.0) as usize);
+        while open && self.calling < room && self.calling + self.lingering.len() < most {
             let next = self.parked.iter().flatten().find(|id| !self.requests[id].settled);
             let Some(&id) = next else { return };
-            let mut until_s = self.requests[&id].due - SWEEP_S;
+            // One that never answers must not hold its slot, nor what could go on without it, until nobody waits.
+            let (r, bound) = (&self.requests[&id], &self.call_bound);
+            let part = if bound.shortest.is_finite() { CALL_PATIENCE_OF_AIM } else { f64::INFINITY };
+            let patience = (bound.length() * CALL_PATIENCE).max(self.class(r.class).aim_s * part);
+            let mut until_s = (r.due - SWEEP_S).min(self.now + patience).min(self.last_call(r));
             // A share under one call is kept in the mean: one call at a time, as long as was saved up.
             if let Some(dep) = self.set.dependency.as_ref().filter(|d| d.share < 1.0) {
                 let lasts = self.call_bound.budget - dep.linger_s;
@@ -837,7 +864,7 @@
                 out.push(Action::Call { id, until_s });
                 self.shift(id, Some(Stage::Calling));
             } else {
-                self.give_up(id, out);
+                self.leave_call_out(id, out);
             }
         }
     }
@@ -847,7 +874,8 @@
     fn start(&mut self, out: &mut Vec<Action>) {
         while self.running() < self.limit.runs {
             let jammed = self.call_jam();
-            let fits = |id: &&RequestId| !jammed || !self.class(self.requests[*id].class).calls;
+            let can = |c: &Class| !jammed || !c.calls || c.skipped_worth > 0.0;
+            let fits = |id: &&RequestId| can(self.class(self.requests[*id].class));
             let Some(&id) = self.hold.iter().flatten().find(fits) else { return };
             let r = &self.requests[&id];
             let ends = self.now + self.pace[r.class].plan(r.hint) * LAST_START;
@@ -888,6 +916,8 @@
                 self.refuse(id, out);
             } else if last <= ahead || self.now >= r.ends {
                 self.give_up(id, out);
+            } else if r.stage == Stage::AtCall && self.now >= self.last_call(r) {
+                self.leave_call_out(id, out);
             }
         }
         let over =
@@ -903,7 +933,6 @@
         if self.now >= self.limit.ends {
             self.step_limit(gauges);
             self.publish(out);
-            self.close_idle(gauges, out);
         }
     }
 
@@ -926,39 +955,10 @@
         self.limit.ends = self.now + LIMIT_WINDOW_S;
     }
 
-    /// A full table of connections takes a good part of the cores, so idle ones are closed early. In a storm
-    /// they are kept: a new one takes the work of several readings, and a full table turns callers away
-    /// unread. Also for floods; harm: what gets no connection is not chosen by worth.
-    fn close_idle(&mut self, gauges: &Gauges, out: &mut Vec<Action>) {
-        let stormy = self.set.marks_retries || self.run_length() > STRETCHED * self.usual;
-        let storm = stormy && self.fleet_full() && gauges.cores_busy.is_some_and(|b| b >= BUSY);
-        let open = gauges.connections.filter(|_| storm).unwrap_or(0.0);
-        let few = f64::from(self.set.callers) <= FEW_CALLERS * f64::from(self.set.cores);
-        let aim = self.set.classes.iter().map(|c| c.aim_s).fold(0.0, f64::max);
-        let aim = if few { self.set.idle_s } else { (aim * IDLE_OF_AIM).min(self.set.idle_s) };
-        let wanted = (open / (STORM * self.capacity())).max(self.idle_s / IDLE_STEP);
-        let idle = wanted.clamp(aim, self.set.idle_s.max(aim));
-        if idle != self.idle_s && idle > 0.0 {
-            self.idle_s = idle;
-            out.push(Action::CloseIdle(idle));
-        }
-    }
-
-    /// The value for callers: an allowance is what can be done within the shortest aim, shared over them; a
-    /// weight is 1. Either is 0 while leaving or not well.
+    /// The weight that callers are told: 1, and 0 while leaving or not well.
     fn publish(&mut self, out: &mut Vec<Action>) {
-        let full = match self.set.signal {
-            Signal::Allowance => {
-                let aim = self.set.classes.iter().map(|c| c.aim_s).fold(f64::INFINITY, f64::min);
-                let wait = (aim - self.run_length() * RUN_ALLOWANCE).max(0.0) * K_OF_J;
-                (self.limit.runs as f64 + wait * self.capacity()) / f64::from(self.set.callers.max(1))
-            }
-            Signal::Weight => 1.0,
-            _ => return,
-        };
-        let away = self.leave.is_some() || !self.well;
-        let level = if away { 0.0 } else { full };
-        if (level - self.level).abs() > 0.05 * self.level.abs() {
+        let level = f64::from(u8::from(self.leave.is_none() && self.well));
+        if self.set.signal == Signal::Weight && level != self.level {
             self.level = level;
             out.push(Action::Publish(level));
         }
--- a/src/config.rs
+++ b/src/config.rs
@@ -142,7 +142,6 @@
             },
             signal: match o.domain.signal.as_str() {
                 "floor" => Signal::RankFloor,
-                "allowance" => Signal::Allowance,
                 "weight" => Signal::Weight,
                 _ => Signal::None,
             },
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -126,7 +126,6 @@
     },
     Health(bool),
     Publish(f64),
-    CloseIdle(f64),
     WakeIn(f64),
     Log(String),
 }
@@ -523,7 +522,6 @@
                 Action::Halt(_) => {}
                 Action::Health(good) => out.push(Command::Health(good)),
                 Action::Publish(level) => out.push(Command::Publish(level)),
-                Action::CloseIdle(after) => out.push(Command::CloseIdle(after)),
                 Action::WakeIn(after) => out.push(Command::WakeIn(after)),
                 Action::Log(text) => out.push(Command::Log(text)),
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -75,8 +75,6 @@
     None,
     /// Ranks under it are not sent.
     RankFloor,
-    /// How many requests each caller may have out here.
-    Allowance,
     /// The chance that a caller does not pass this worker over.
     Weight,
 }
@@ -267,8 +265,6 @@
     Health(bool),
     /// Set the free value.
     Publish(f64),
-    /// Close connections idle for this long (seconds).
-    CloseIdle(f64),
     /// Wake the controller after this time (seconds).
     WakeIn(f64),
     /// A line for on-call staff.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -522,7 +522,6 @@
                 }
             }
             Command::Publish(level) => self.state.level = Some(level),
-            Command::CloseIdle(after) => self.idle_s = after,
             Command::WakeIn(after) => self.wheel.set(now, after, Timer::Wake),
             Command::Log(text) => self.log.line(&text),
         }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -114,7 +114,6 @@
     TakeOff { req: &'a str },
     Fitness { want: bool, from_state: bool },
     Publish { level: f64 },
-    ReapAfter { ttl_s: f64 },
     Schedule { in_s: f64, nonce: &'static str },
     Debug { body_text: &'a str },
 }
@@ -319,7 +318,6 @@
         Action::Halt(id) => Order::TakeOff { req: word(id)? },
         Action::Health(good) => Order::Fitness { want: *good, from_state: true },
         Action::Publish(level) => Order::Publish { level: *level },
-        Action::CloseIdle(after) => Order::ReapAfter { ttl_s: *after },
         Action::WakeIn(after) => Order::Schedule { in_s: *after, nonce: WAKE },
         Action::Log(text) => Order::Debug { body_text: text },
     })
