Begin calls only while they can end in time; a jam below a tier is none to it

Checked with a probe of the module's state: start() held back all classes that need their calls while anything stood at calls, though an order comes first there; and place_calls gave 20 calls a second so little time that they were given up, each of which the database still worked on, until it turned away 30 a second.

call_jam counts what stands at calls of the tier and above. last_call is the moment by which a call must have begun, 2.2 mean lengths before its run must go on; later it is left out. Calls that are never made again have twice the patience.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -19,9 +19,8 @@
 /// Before the first runs end, a run is taken to last this share of its aim; that weighs as so many ends.
 const PRIOR_OF_AIM: f64 = 0.25;
 const PRIOR_RUNS: f64 = 3.0;
-/// A wait is planned for a run of so many mean lengths; what is late even with one of the second is given up.
+/// A wait is planned for a run of so many mean lengths; what is late even with one of them is given up.
 const RUN_ALLOWANCE: f64 = 1.3;
-const LAST_START: f64 = 1.0;
 /// Hints count after so many ends, each older one by this much less, within so many times the mean length.
 const HINTS_LEAST: f64 = 8.0;
 const HINT_FADE: f64 = 0.98;
@@ -49,7 +48,7 @@
 const CALL_STEP: f64 = 0.1;
 /// It never falls under this share of what is survived: slow calls are then no crowd of ours.
 const CALL_FLOOR: f64 = 0.25;
-/// A call is taken for lost after so many mean lengths, but not before this share of an aim.
+/// A call is lost after so many mean lengths, twice that if it is never made again, and this share of an aim.
 const CALL_PATIENCE: f64 = 8.0;
 const CALL_PATIENCE_OF_AIM: f64 = 0.1;
 const REST_LEAST: f64 = 0.25; // Of the length of a run, after its call.
@@ -564,7 +563,7 @@
     /// that tiers above leave over. Work parked at a call counts as held, or it would be hidden.
     fn must_refuse(&self, id: RequestId) -> bool {
         let Some(r) = self.requests.get(&id) else { return true };
-        let (calls, jammed) = (self.class(r.class).calls, self.call_jam());
+        let (calls, jammed) = (self.class(r.class).calls, self.call_jam(r.tier));
         // While the dependency is the bottleneck, what waits for it does not stand in the way of the rest.
         let counts = |id: &&RequestId| !jammed || calls || !self.class(self.requests[*id].class).calls;
         let waiting = |upto: usize| self.hold[..upto].iter().flatten().filter(counts).count();
@@ -815,8 +814,9 @@
         }
     }
 
-    fn call_jam(&self) -> bool {
-        self.parked() as f64 >= self.call_bound.room.max(1.0)
+    /// What stands at calls of this tier and above is more than may be in hand.
+    fn call_jam(&self, tier: Tier) -> bool {
+        self.parked[..=tier].iter().flatten().count() as f64 >= self.call_bound.room.max(1.0)
     }
 
     /// The wait for a call of this tier, behind what stands at one and what is held to come.
@@ -827,16 +827,14 @@
         before as f64 * self.call_bound.length() / self.call_bound.room
     }
 
-    /// From then on a run ends within its aim only without its call, where it may leave that out.
+    /// A call begun later than this would make its run miss the aim; where it may be left out, it then is.
     fn last_call(&self, r: &Request) -> f64 {
-        let length = self.pace[r.class].plan(r.hint);
-        let rest = (length - r.on_cores).max(length * REST_LEAST);
-        let may = self.class(r.class).skipped_worth > 0.0 && self.now < r.aim_at;
-        if may {
-            r.aim_at - rest - 2.0 * SWEEP_S
-        } else {
-            f64::INFINITY
+        if self.class(r.class).skipped_worth <= 0.0 || self.now >= r.aim_at {
+            return f64::INFINITY;
         }
+        let length = self.pace[r.class].plan(r.hint);
+        let rest = (length - r.on_cores).max(length * REST_LEAST) + 2.0 * SWEEP_S;
+        r.aim_at - rest - CALL_SLOW * self.call_bound.length()
     }
 
     fn place_calls(&mut self, out: &mut Vec<Action>) {
@@ -847,10 +845,13 @@
             let next = self.parked.iter().flatten().find(|id| !self.requests[id].settled);
             let Some(&id) = next else { return };
             // One that never answers must not hold its slot, nor what could go on without it, until nobody waits.
-            let (r, bound) = (&self.requests[&id], &self.call_bound);
-            let part = if bound.shortest.is_finite() { CALL_PATIENCE_OF_AIM } else { f64::INFINITY };
-            let patience = (bound.length() * CALL_PATIENCE).max(self.class(r.class).aim_s * part);
-            let mut until_s = (r.due - SWEEP_S).min(self.now + patience).min(self.last_call(r));
+            let (r, length) = (&self.requests[&id], self.call_bound.length());
+            let (class, last) = (self.class(r.class), self.last_call(r));
+            let part =
+                if self.call_bound.shortest.is_finite() { CALL_PATIENCE_OF_AIM } else { f64::INFINITY };
+            let lengths = CALL_PATIENCE * if class.effect == Effect::Safe { 1.0 } else { 2.0 };
+            let patience = (length * lengths).max(class.aim_s * part);
+            let mut until_s = (r.due - SWEEP_S).min(self.now + patience).min(last + CALL_SLOW * length);
             // A share under one call is kept in the mean: one call at a time, as long as was saved up.
             if let Some(dep) = self.set.dependency.as_ref().filter(|d| d.share < 1.0) {
                 let lasts = self.call_bound.budget - dep.linger_s;
@@ -860,7 +861,7 @@
                 }
                 until_s = until_s.min(self.now + lasts);
             }
-            if until_s > self.now {
+            if until_s > self.now && last > self.now {
                 out.push(Action::Call { id, until_s });
                 self.shift(id, Some(Stage::Calling));
             } else {
@@ -873,12 +874,11 @@
     /// for one run at a time: else a worker would never learn that it is quick again.
     fn start(&mut self, out: &mut Vec<Action>) {
         while self.running() < self.limit.runs {
-            let jammed = self.call_jam();
-            let can = |c: &Class| !jammed || !c.calls || c.skipped_worth > 0.0;
-            let fits = |id: &&RequestId| can(self.class(self.requests[*id].class));
+            let can = |r: &Request, c: &Class| !c.calls || c.skipped_worth > 0.0 || !self.call_jam(r.tier);
+            let fits = |id: &&RequestId| can(&self.requests[*id], self.class(self.requests[*id].class));
             let Some(&id) = self.hold.iter().flatten().find(fits) else { return };
             let r = &self.requests[&id];
-            let ends = self.now + self.pace[r.class].plan(r.hint) * LAST_START;
+            let ends = self.now + self.pace[r.class].plan(r.hint);
             let hopeless = ends > r.aim_at && (self.running() > 0 || self.now > r.aim_at);
             let leaving = self.leave.is_some_and(|(_, stop)| ends > stop - LEAVE_MARGIN_S);
             if hopeless || leaving {
@@ -911,7 +911,7 @@
             let Some(r) = self.requests.get(&id) else { continue };
             let last = stop.map_or(r.due, |s| s.min(r.due));
             let waits = matches!(r.stage, Stage::Held | Stage::Behind);
-            let hopeless = self.now + self.pace[r.class].plan(r.hint) * LAST_START > r.aim_at;
+            let hopeless = self.now + self.pace[r.class].plan(r.hint) > r.aim_at;
             if waits && (hopeless || last <= ahead) {
                 self.refuse(id, out);
             } else if last <= ahead || self.now >= r.ends {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -764,6 +764,42 @@
     assert!(skipped > 300 && refusals == 0, "{skipped} without a call, {refusals} refused");
 }
 
+/// On sockets: orders were held while lookups stood at calls, and half of them were never run.
+#[test]
+fn what_stands_at_calls_below_a_tier_is_no_jam_to_it() {
+    let mut set = with_calls(2.0);
+    set.classes[0].skipped_worth = 0.6;
+    (set.classes[1].effect, set.classes[1].calls) = (Effect::Keyed, true);
+    let mut b = Bench::new(set);
+    let mut id = 0;
+    while b.c.take_released().is_empty() && id < 8 {
+        id += 1;
+        b.arrive(id, 0);
+        b.tell(Event::AtCall(RequestId(id)));
+    }
+    assert!(starts(&b.arrive(99, 1)).contains(&99), "after {id} lookups at their calls");
+}
+
+/// On sockets: calls were placed that could not end before their run had to go on, 20 a second.
+#[test]
+fn a_call_that_could_not_end_in_time_is_not_begun() {
+    let mut set = with_calls(4.0);
+    set.classes[0].skipped_worth = 0.6;
+    let mut b = Bench::new(set);
+    for id in 1..=20 {
+        b.arrive(id, 0);
+        b.tell(Event::AtCall(RequestId(id)));
+        b.now += 0.2;
+        b.tell(Event::CallEnded { id: RequestId(id), outcome: Outcome::Ok });
+        b.end(id, Outcome::Ok);
+    }
+    // Of an aim of 2 s, 0.3 are left: not enough for two calls of 0.2 s, as half of them take longer than one.
+    b.arrive(50, 0);
+    b.now += 1.7;
+    let out = b.tell(Event::AtCall(RequestId(50)));
+    assert!(out.contains(&Action::SkipCall(RequestId(50))) && calls_made(&out) == 0, "{out:?}");
+}
+
 /// On sockets: 1 in 50 calls was never answered, and soon all that could be in hand were of those.
 #[test]
 fn a_call_that_is_never_answered_is_given_up_after_some_lengths_and_holds_no_slot() {
