Turn away at once whoever finds all connections busy; silent ones go sooner

Checked: when the table is full, Connections::accept let whoever came wait with the system while one silent connection was younger than 50 ms (make_room), and for 0.1 s after each 64 connections. Behind a crowd that was so all the time, so routers' requests lay unread until their time was over. Ruled out: the processor (0.09 s in a second), and the drain (the two workers that left said 'left with all answered').

Silent connections may go as soon as they have been looked at once; what was accepted in this very look is looked at before an idle connection that asked more than once goes. Where all are busy, the newcomer is closed at once: nothing ran, so it may be tried elsewhere. Accepting rests for 20 ms instead of 100.

--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -20,6 +20,8 @@
 const DROP_MOST: usize = 1024 * 1024;
 /// A caller that opens a connection has something to ask: one silent for so long may be closed for another (seconds).
 const SILENT_S: f64 = 0.05;
+/// The rank of connections of which the fewest should go.
+const LAST_RANK: u8 = 4;
 /// After so long an idle connection keeps no buffers (seconds).
 const REST_S: f64 = 1.0;
 
@@ -116,14 +118,24 @@
     /// that are being closed anyway, then those that asked once and rest, then others that are idle.
     fn rank(&self, now: f64) -> Option<u8> {
         match self.stage {
-            Stage::Idle | Stage::Reading if self.asked == 0 => (now - self.opened >= SILENT_S).then_some(0),
+            Stage::Idle | Stage::Reading if self.asked == 0 && now - self.opened >= SILENT_S => Some(0),
             Stage::Closing => Some(1),
-            Stage::Idle => Some(if self.asked == 1 && now - self.since >= REST_S { 2 } else { 3 }),
+            // Just accepted and not looked at yet: its request may be there.
+            Stage::Idle if self.asked == 0 => (now > self.opened).then_some(3),
+            Stage::Idle => Some(if self.asked == 1 && now - self.since >= REST_S { 2 } else { LAST_RANK }),
             _ => None,
         }
     }
 }
 
+/// What became of the wish for one more descriptor.
+enum Room {
+    Made,
+    /// It may be had once what has just come has been looked at.
+    Later,
+    None,
+}
+
 /// A listener and its connections.
 pub struct Connections<P> {
     acceptor: Option<Acceptor>,
@@ -225,10 +237,16 @@
             let stream = match acceptor.accept(taken) {
                 Accepted::Stream(stream) => stream,
                 Accepted::Nobody => return false,
-                // An idle connection may be closed at any time: whoever waits is worth more.
-                Accepted::Full if self.make_room(now) => continue,
-                // Guards against spinning: whoever waits stays there, so the next try is left to a timer.
-                Accepted::Full | Accepted::Pause => return true,
+                // An idle connection may be closed at any time: whoever waits is worth more. Where all are busy,
+                // whoever waits is turned away at once: a request that lies unread until its time is over is
+                // lost, and one on a connection closed before anything ran may be tried elsewhere.
+                Accepted::Full => match self.make_room(now) {
+                    Room::Made => continue,
+                    Room::None if self.acceptor.as_mut().is_some_and(Acceptor::turn_away) => continue,
+                    // Guards against spinning: whoever waits stays there, so the next try is left to a timer.
+                    _ => return true,
+                },
+                Accepted::Pause => return true,
             };
             let id = self.poll.fresh();
             if stream.set_nonblocking(true).is_err() {
@@ -244,16 +262,19 @@
         false
     }
 
-    /// Closes one connection for another; `false` where none may go. Guards routers against a flood of silent
-    /// clients: while one is here that may turn out to be such, it is waited for, and the last rank stays.
-    fn make_room(&mut self, now: f64) -> bool {
-        let young =
-            |c: &Connection<P>| c.stage <= Stage::Reading && c.asked == 0 && now - c.opened < SILENT_S;
-        let flood = self.all.values().any(young);
+    /// Closes one connection for another. Guards routers against a flood of silent clients: what has just been
+    /// accepted is looked at before a connection of the last rank goes.
+    fn make_room(&mut self, now: f64) -> Room {
+        let unseen = self.all.values().any(|c| c.opened == now);
         let ranked = self.all.iter().filter_map(|(id, c)| Some((c.rank(now)?, c.since, *id)));
-        let first = ranked.filter(|(rank, ..)| *rank < 3 || !flood);
-        let first = first.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        first.is_some_and(|(.., id)| self.all.remove(&id).is_some())
+        match ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))) {
+            Some((LAST_RANK, ..)) | None if unseen => Room::Later,
+            Some((.., id)) => {
+                self.all.remove(&id);
+                Room::Made
+            }
+            None => Room::None,
+        }
     }
 
     /// Closes what has been idle for long, and peers that are too slow to send or to read.
--- a/src/net/poll.rs
+++ b/src/net/poll.rs
@@ -18,8 +18,8 @@
 const ACCEPTS: usize = 64;
 /// Descriptors of the budget that callers can't take: else a flood of them would leave none for calls and links.
 const KEPT_BACK: usize = 24;
-/// How long accepting rests when the system has no descriptor left (seconds).
-pub const ACCEPT_PAUSE_S: f64 = 0.1;
+/// How long accepting rests when there is no descriptor left, or enough have come for one turn (seconds).
+pub const ACCEPT_PAUSE_S: f64 = 0.02;
 
 /// Whose socket is ready.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -158,6 +158,11 @@
         self.waiting = true;
     }
 
+    /// Closes one that waits; `false` where nobody does, or the system has no descriptor even for that.
+    pub fn turn_away(&mut self) -> bool {
+        self.listener.accept().is_ok()
+    }
+
     /// Takes one that waits; `taken` counts those of this turn.
     pub fn accept(&mut self, taken: usize) -> Accepted {
         if !self.waiting {
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use serde_json::json;
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::process::Command;
 use std::time::{Duration, Instant};
 
@@ -494,6 +494,35 @@
     }
 }
 
+/// Requests lay unread behind a full table until their time was over: 622 of them on one day.
+#[test]
+fn where_all_connections_are_busy_whoever_comes_is_turned_away_at_once() {
+    let few = |c: &mut serde_json::Value| {
+        (c["limits"]["sockets"], c["settings"]["domain"]["nCores"]) = (json!(64), json!(60));
+    };
+    let site = Site::with(few, None);
+    let mut executor = site.link();
+    let mut busy: Vec<Client> = Vec::new();
+    // There is room for a few; each of them has asked before the next one comes.
+    let turned_away = loop {
+        let mut client = Client::connect(site.http);
+        let _ = client.reader.get_ref().write_all(Ask::new("look").text().as_bytes());
+        client.reader.get_ref().set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+        match std::io::Read::read(&mut client.reader, &mut [0; 16]) {
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => busy.push(client),
+            closed => break closed,
+        }
+        assert!(busy.len() < 60, "nobody is turned away");
+    };
+    assert!(matches!(turned_away, Ok(0) | Err(_)), "{turned_away:?}");
+    assert!(busy.len() >= 4, "{} are held", busy.len());
+    // What is held is served all the same.
+    let exec = executor.next("EXEC");
+    executor.exit(&exec["job"], "PASS", "served");
+    busy[0].reader.get_ref().set_read_timeout(Some(PATIENCE)).unwrap();
+    assert_eq!(busy[0].answer().body, b"served");
+}
+
 /// A close while the rest of the body came in reset the connection, and the refusal was lost with it.
 #[test]
 fn a_body_of_60_mb_is_refused_at_once_and_the_refusal_can_be_read() {
