--- a/src/brain.rs
+++ b/src/brain.rs
@@ -844,7 +844,7 @@
         while open && self.calling < room && self.calling + self.lingering.len() < most {
             let next = self.parked.iter().flatten().find(|id| !self.requests[id].settled);
             let Some(&id) = next else { return };
-            // One that never answers must not hold its slot, nor what could go on without it, until nobody waits.
+            // One that never answers must not hold its slot, nor what can go on without, until nobody waits.
             let (r, length) = (&self.requests[&id], self.call_bound.length());
             let (class, last) = (self.class(r.class), self.last_call(r));
             let part =
