Take a signed Content-Length for ambiguous on the AJP front too

Checked while carrying over what hardens the HTTP front: ajp_front::head parsed the length with Rust's parse alone, which takes a leading plus; the HTTP front takes digits alone. Without the change it fails: such a request was taken and answered 503 by the worker, whose executor was not up yet.

--- a/src/net/ajp_front.rs
+++ b/src/net/ajp_front.rs
@@ -334,7 +334,10 @@
     let mut fields = Fields::default();
     for (name, value) in &f.headers {
         if name.eq_ignore_ascii_case("content-length") {
-            let number = std::str::from_utf8(value).ok().and_then(|t| t.trim().parse::<usize>().ok());
+            // Digits alone, as on the other front: a sign could be read another way elsewhere.
+            let text = std::str::from_utf8(value).map_or("", str::trim);
+            let digits = text.bytes().all(|b| b.is_ascii_digit());
+            let number = text.parse::<usize>().ok().filter(|_| digits);
             if length.is_some() || number.is_none() {
                 return Err(Reject(400, "Content-Length is ambiguous"));
             }
--- a/tests/ajp.rs
+++ b/tests/ajp.rs
@@ -195,6 +195,7 @@
     let good = forward("/portal/order", "k");
     let twice = [&good.headers[..], &[("X-Operation-Key", &b"l"[..])]].concat();
     let long = vec![("content-length", &b"2049"[..])];
+    let signed = vec![("content-length", &b"+0"[..])];
     for (f, status) in [
         (Forward { secret: None, ..good.clone() }, 403),
         (Forward { secret: Some(b"s3cres"), ..good.clone() }, 403),
@@ -202,6 +203,7 @@
         (forward("/portal/order", ""), 400),
         (Forward { headers: twice, ..good.clone() }, 400),
         (Forward { headers: long, uri: "/portal/look", ..good.clone() }, 413),
+        (Forward { headers: signed, uri: "/portal/look", ..good.clone() }, 400),
         (forward("/portal/orders", "k"), 404),
         (Forward { method: "GET", ..good.clone() }, 405),
     ] {
