Record the decision module's actions before class pools touch it

Need: class pools must change nothing where no operator's file sets them up, bit for bit. Change: tests/traces.rs plays three fixed random courses of 24,000 steps (calls, a cold start, runs that can be stopped) and holds each block of 400 steps against digests recorded from the module as it stands.

--- /dev/null
+++ b/tests/traces.rs
@@ -0,0 +1,215 @@
+//! The decision module without class pools, held against traces recorded before it knew of any: each event of a
+//! random but fixed course of days, and each action that came back, digested in blocks.
+//!
+//! `HONEYPOST_RECORD_TRACES=1 cargo test --test traces` writes them anew; only a change that is meant to change
+//! decisions on the platform may do that.
+
+use honeypost::{
+    Action, Arrival, Class, Controller, Dependency, Effect, Event, Gauges, Halting, Outcome, RequestId,
+    Settings, Signal, Tenant,
+};
+use std::fmt::Write;
+
+/// Steps of one trace, and steps digested in one line of it.
+const STEPS: usize = 24_000;
+const BLOCK: usize = 400;
+
+/// A fixed generator (Knuth's MMIX constants): a library's could change its draws between versions.
+struct Draws(u64);
+
+impl Draws {
+    fn unit(&mut self) -> f64 {
+        self.0 = self.0.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        (self.0 >> 11) as f64 / (1u64 << 53) as f64
+    }
+    fn below(&mut self, n: usize) -> usize {
+        ((self.unit() * n as f64) as usize).min(n - 1)
+    }
+}
+
+fn class(worth: f64, aim_s: f64, effect: Effect) -> Class {
+    Class {
+        worth,
+        aim_s,
+        deadline_s: aim_s * 2.5,
+        effect,
+        window_s: 9.0,
+        late_worth: if worth == 2.0 { 0.2 } else { 0.0 },
+        calls: true,
+        skipped_worth: if effect == Effect::Safe { 0.6 } else { 0.0 },
+    }
+}
+
+fn settings(share: f64, quota: f64, halting: Halting, cold: bool) -> Settings {
+    Settings {
+        seed: 1,
+        cores: 6,
+        cold,
+        cold_from: 0.3,
+        cold_s: 12.0,
+        crowd_multiple: 8.0,
+        crowd_window_s: 3.0,
+        memory_kb: 18_000.0,
+        run_factor: 8.0,
+        entry_kb: 20.0,
+        leave_grace_s: 2.5,
+        answer_slack_s: 0.1,
+        wake_ahead_s: 0.004,
+        max_advice_s: 1.0,
+        over_quota_worth: 0.1,
+        callers: 4,
+        workers: 10,
+        marks_retries: !cold,
+        halting,
+        signal: Signal::Weight,
+        dependency: (share > 0.0).then_some(Dependency { share, window_s: 5.0, linger_s: 0.2 }),
+        classes: vec![
+            class(1.0, 1.9, Effect::Safe),
+            class(2.0, 1.9, Effect::Safe),
+            class(5.0, 1.3, Effect::Keyed),
+        ],
+        tenants: if quota > 0.0 { vec![Tenant { quota_per_s: quota }; 3] } else { Vec::new() },
+        ..Settings::default()
+    }
+}
+
+/// What the executor and the records service have in hand.
+#[derive(Default)]
+struct Below {
+    running: Vec<RequestId>,
+    calling: Vec<RequestId>,
+    sharing: Vec<RequestId>,
+}
+
+impl Below {
+    fn obey(&mut self, action: &Action) {
+        match action {
+            Action::Start(id) => self.running.push(*id),
+            Action::SkipCall(id) => self.running.push(*id),
+            Action::Call { id, .. } => self.calling.push(*id),
+            Action::ShareAnswer(id) => self.sharing.push(*id),
+            _ => {}
+        }
+    }
+}
+
+fn outcome(draws: &mut Draws) -> Outcome {
+    match draws.below(60) {
+        0 => Outcome::Error,
+        1 => Outcome::Full,
+        2 => Outcome::TimedOut,
+        3 => Outcome::Unreachable,
+        4 => Outcome::Broken,
+        _ => Outcome::Ok,
+    }
+}
+
+/// Plays one trace: a line for each block of steps, with the number of actions and their digest (FNV-1a, 64 bits).
+fn play(seed: u64, set: Settings) -> String {
+    let (mut draws, mut below, mut now) = (Draws(seed), Below::default(), 0.0);
+    let (tenants, mut text) = (set.tenants.len(), String::new());
+    let mut out = Vec::new();
+    let mut controller = Controller::new(set, now, &mut out);
+    let (mut id, mut known, mut count, mut digest) = (0, Vec::new(), 0, 0xcbf2_9ce4_8422_2325u64);
+    let mut woken = 0.0;
+    for step in 0..STEPS {
+        // Calm, busy, flooded and back, so that all bounds are met and left again.
+        let load = [0.2, 0.5, 0.9, 0.6][step / 1500 % 4];
+        now += draws.unit() * 0.02;
+        let event = if now - woken >= 0.025 {
+            woken = now;
+            let busy = (below.running.len() as f64 / 6.0).min(1.0);
+            let runnable = (step % 5 > 0).then_some(below.running.len() as f64);
+            Event::Woken(Gauges { cores_busy: (step % 7 > 0).then_some(busy), runnable, connections: None })
+        } else if step == STEPS - 300 {
+            Event::Leave { in_s: 3.2 }
+        } else if draws.unit() < load {
+            id += 1;
+            let class = [0, 0, 0, 0, 1, 1, 1, 1, 2][draws.below(9)];
+            let again = class == 2 && !known.is_empty() && draws.unit() < 0.3;
+            let repeats = again.then(|| known[draws.below(known.len())]);
+            if class == 2 && !again {
+                known.push(RequestId(id));
+                if known.len() > 12 {
+                    known.remove(0);
+                }
+            }
+            Event::Arrived(Arrival {
+                id: RequestId(id),
+                class,
+                tenant: (tenants > 0).then(|| draws.below(tenants + 2).min(tenants - 1)),
+                caller: 1,
+                kb: 14.0 + draws.unit() * 30.0,
+                unread_s: draws.unit() * 0.01,
+                patience_s: Some(2.0 + draws.unit() * 2.0),
+                size_s: Some(0.05 + draws.unit() * 0.5),
+                repeats,
+                retry: again || draws.unit() < 0.05,
+            })
+        } else if draws.unit() < 0.02 && id > 0 {
+            Event::CallerGone(RequestId(id - draws.below(30.min(id as usize)) as u64))
+        } else if draws.unit() < 0.4 && !below.calling.is_empty() {
+            let id = below.calling.swap_remove(draws.below(below.calling.len()));
+            let outcome = outcome(&mut draws);
+            if outcome == Outcome::Ok {
+                below.running.push(id);
+            }
+            Event::CallEnded { id, outcome }
+        } else if draws.unit() < 0.3 && !below.sharing.is_empty() {
+            let id = below.sharing.remove(0);
+            Event::RunEnded { id, outcome: Outcome::Ok }
+        } else if !below.running.is_empty() {
+            let id = below.running.swap_remove(draws.below(below.running.len()));
+            if draws.unit() < 0.5 {
+                Event::AtCall(id)
+            } else {
+                Event::RunEnded { id, outcome: outcome(&mut draws) }
+            }
+        } else {
+            continue;
+        };
+        controller.handle(now, event, &mut out);
+        let released = controller.take_released();
+        for action in out.drain(..) {
+            below.obey(&action);
+            count += 1;
+            // Nine decimals: an `exp` of another C library may differ in the last bit.
+            for byte in format!("{action:.9?}").bytes() {
+                digest = (digest ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
+            }
+        }
+        digest = (digest ^ released.len() as u64).wrapping_mul(0x100_0000_01b3);
+        if step % BLOCK == BLOCK - 1 {
+            let _ = writeln!(text, "{step} {now:.6} {count} {digest:016x}");
+        }
+    }
+    text
+}
+
+fn hold_against(name: &str, seed: u64, set: Settings) {
+    let path = format!("{}/tests/traces/{name}.txt", env!("CARGO_MANIFEST_DIR"));
+    let played = play(seed, set);
+    if std::env::var_os("HONEYPOST_RECORD_TRACES").is_some() {
+        std::fs::write(&path, &played).unwrap();
+    }
+    let recorded = std::fs::read_to_string(&path).unwrap();
+    for (played, recorded) in played.lines().zip(recorded.lines()) {
+        assert_eq!(played, recorded, "{name}: the first block of steps that differs");
+    }
+    assert_eq!(played.lines().count(), recorded.lines().count(), "{name}: length");
+}
+
+#[test]
+fn a_warm_worker_with_calls_decides_as_recorded() {
+    hold_against("calls", 11, settings(5.0, 60.0, Halting::Never, false));
+}
+
+#[test]
+fn a_cold_worker_without_marked_retries_decides_as_recorded() {
+    hold_against("cold", 12, settings(0.6, 0.0, Halting::Never, true));
+}
+
+#[test]
+fn a_worker_that_can_stop_runs_decides_as_recorded() {
+    hold_against("halting", 13, settings(0.0, 25.0, Halting::Discard, false));
+}
