Let the decision module ask class pools which class may start

Need: a free slot goes to the top tier alone, so the cheapest calls starve behind heavier work, and a flood of one class can hold all slots while an order waits. Change: src/pools/ divides run slots among pools of classes (reserve, guarantees that are lent and paid back, weights, ceilings, queues) and sets how many there are from measured throughput; brain.rs asks it for the next start, for what an arrival can count on, and for the limit. Without a plan nothing of it is called.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,8 +5,10 @@
 //! reaches j or what is held above it reaches k. Where this departs, the comment says what trouble it is for.
 
 use crate::interface::{
-    Action, Arrival, Class, Dependency, Effect, Event, Gauges, Halting, Outcome, RequestId, Settings, Signal,
+    Action, Arrival, Class, Dependency, Effect, Event, Gauges, Halting, Outcome, PoolPlan, RequestId,
+    Settings, Signal,
 };
+use crate::pools::{Place, Pools};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How often due times are looked at, well inside the slack on answers, and the run limit (seconds).
@@ -95,6 +97,17 @@
     Calling,
 }
 
+impl Stage {
+    fn place(self) -> Option<Place> {
+        match self {
+            Stage::Held => Some(Place::Held),
+            Stage::Running => Some(Place::OnCores),
+            Stage::AtCall | Stage::Calling => Some(Place::AtCall),
+            _ => None,
+        }
+    }
+}
+
 #[derive(Default)]
 struct Request {
     class: usize,
@@ -335,6 +348,8 @@
     /// Neither sick nor swamped; what health checks are told.
     well: bool,
     fit: bool,
+    /// Where an operator set up pools they say which class may start, and how many runs there are.
+    pools: Option<Pools>,
 }
 
 impl Controller {
@@ -365,6 +380,8 @@
             ..Controller::default()
         };
         controller.usual = controller.run_length();
+        let plan = controller.set.pools.take();
+        controller.set_pools(plan);
         out.extend([Action::Health(true), Action::WakeIn(SWEEP_S)]);
         controller.publish(out);
         controller
@@ -381,6 +398,7 @@
             Event::CallEnded { id, outcome } => self.call_ended(id, outcome, out),
             Event::Leave { in_s } => self.leave = Some((now, now + in_s)),
             Event::Woken(gauges) => self.woken(&gauges, out),
+            Event::Pools(plan) => self.set_pools(plan),
         }
         self.clear_hold(out);
         let (sick, swamped) = (self.sickness.sick, self.sickness.swamped);
@@ -407,9 +425,24 @@
         std::mem::take(&mut self.released)
     }
 
+    /// Takes up other pools, or none. Runs and what is held stay as they are.
+    fn set_pools(&mut self, plan: Option<PoolPlan>) {
+        let Some(plan) = plan else { return self.pools = None };
+        if let Some(pools) = &mut self.pools {
+            return pools.replan(plan);
+        }
+        let lengths: Vec<f64> = self.pace.iter().map(Pace::length).collect();
+        let mut pools = Pools::new(plan, &lengths, self.crowd_limit());
+        self.requests.values().for_each(|r| pools.moved(r.class, None, r.stage.place()));
+        self.pools = Some(pools);
+    }
+
     fn advance(&mut self, now: f64) {
         let dt = (now - self.now).max(0.0);
         self.now = self.now.max(now);
+        if let Some(pools) = &mut self.pools {
+            pools.advance(dt);
+        }
         self.pace.iter_mut().zip(&self.on_cores).for_each(|(pace, n)| pace.advance(*n as f64, dt));
         self.call_bound.advance(self.calling as f64, dt);
         if let Some(dep) = &self.set.dependency {
@@ -437,14 +470,28 @@
     }
 
     fn run_length(&self) -> f64 {
-        let spent: f64 = self.pace.iter().map(|p| p.spent).sum();
-        let ended: f64 = self.pace.iter().map(|p| p.ended).sum();
+        self.length_of(|_| true)
+    }
+
+    fn length_of(&self, counts: impl Fn(usize) -> bool) -> f64 {
+        let paces = || self.pace.iter().enumerate().filter(|(class, _)| counts(*class)).map(|(_, p)| p);
+        let spent: f64 = paces().map(|p| p.spent).sum();
+        let ended: f64 = paces().map(|p| p.ended).sum();
         (spent / ended.max(1e-6)).max(1e-6)
     }
 
-    /// Runs a second: the run limit over the time on the cores, call waits apart.
-    fn capacity(&self) -> f64 {
-        self.limit.runs as f64 / self.run_length()
+    /// Runs a second: the run limit over the time on the cores, call waits apart. With pools, what the pool of
+    /// this class can count on.
+    fn capacity(&self, class: usize) -> f64 {
+        match &self.pools {
+            Some(pools) => pools.slots(class) / self.length_of(|c| pools.together(c, class)),
+            None => self.limit.runs as f64 / self.run_length(),
+        }
+    }
+
+    /// Whether a request waits for the same slots as this class.
+    fn beside(&self, id: &RequestId, class: usize) -> bool {
+        self.pools.as_ref().map_or(true, |pools| pools.together(self.requests[id].class, class))
     }
 
     fn running(&self) -> usize {
@@ -565,36 +612,46 @@
         let Some(r) = self.requests.get(&id) else { return true };
         let (calls, jammed) = (self.class(r.class).calls, self.call_jam(r.tier));
         // While the dependency is the bottleneck, what waits for it does not stand in the way of the rest.
-        let counts = |id: &&RequestId| !jammed || calls || !self.class(self.requests[*id].class).calls;
+        let counts = |id: &&RequestId| {
+            (!jammed || calls || !self.class(self.requests[*id].class).calls) && self.beside(id, r.class)
+        };
         let waiting = |upto: usize| self.hold[..upto].iter().flatten().filter(counts).count();
         let near = self.worths.iter().filter(|w| **w >= self.worths[r.tier] * TOTAL_WORTH).count();
-        let held = waiting(near) + if calls || !jammed { self.parked() } else { 0 };
+        let parked = self.parked.iter().flatten().filter(|id| self.beside(id, r.class));
+        let held = waiting(near) + if calls || !jammed { parked.count() } else { 0 };
         let above = waiting(r.tier);
-        let free = self.running() < self.limit.runs && self.hold.iter().all(BTreeSet::is_empty);
+        let free = match &self.pools {
+            Some(pools) => pools.open(r.class),
+            None => self.running() < self.limit.runs && self.hold.iter().all(BTreeSet::is_empty),
+        };
         let pace = &self.pace[r.class];
         let spare = r.aim_at - self.now - pace.plan(r.hint) * RUN_ALLOWANCE;
         let wait = self.call_wait(r.tier);
         let within = if wait > 0.0 { spare } else { r.aim_at - self.now };
         let needs = calls && self.class(r.class).skipped_worth <= 0.0;
         let no_call = needs && wait + self.call_bound.length() > within;
-        let rate = self.capacity();
-        let left = (1.0 - self.inflow[..r.tier].iter().sum::<f64>() / rate).max(0.1);
+        let rate = self.capacity(r.class);
+        // Of pools each has its own queue, and tiers above are mostly other pools'.
+        let above_s: f64 = if self.pools.is_some() { 0.0 } else { self.inflow[..r.tier].iter().sum() };
+        let left = (1.0 - above_s / rate).max(0.1);
         // A greedy account's excess may wait for as little as it is worth.
         let part = if r.greedy { self.set.over_quota_worth } else { 1.0 };
         let j = (spare * rate * left * part).max(1.0);
         let k = (spare * rate * K_OF_J).max(1.0);
         // The top tier is refused too when even it could not end in time: sooner said than failed late.
         let total = if r.tier == 0 { waiting(1) } else { held };
-        no_call || !free && (total as f64 >= j || above as f64 >= k)
+        let full = self.pools.as_ref().is_some_and(|pools| pools.full(r.class));
+        no_call || full || !free && (total as f64 >= j || above as f64 >= k)
     }
 
     /// How long to stay away: half the time that what is held takes to start; the longest while not well. In
     /// a full fleet half the time to a caller's next try, unless far off: it would only delay clients.
-    fn advice(&self, tier: Tier) -> f64 {
+    fn advice(&self, tier: Tier, class: usize) -> f64 {
         let (most, next) =
             (self.set.max_advice_s, f64::from(self.set.callers) / 2.0 / self.inflow.iter().sum::<f64>());
-        let ahead: usize = self.hold[..=tier].iter().map(BTreeSet::len).sum();
-        let half = (ahead as f64 / self.capacity() / 2.0).max(4.0 * SWEEP_S);
+        let held = self.hold[..=tier].iter().flatten();
+        let ahead = held.filter(|id| self.beside(id, class)).count();
+        let half = (ahead as f64 / self.capacity(class) / 2.0).max(4.0 * SWEEP_S);
         let keep_off = self.fleet_full() && next < most * COME_BACK;
         let least = if keep_off { next } else { 0.0 };
         if self.well {
@@ -651,7 +708,10 @@
     /// Answers a request that has not run, and those behind it.
     fn refuse(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
-        let (leads, stay_away_s) = (self.leads(id), self.advice(r.tier));
+        let (leads, stay_away_s) = (self.leads(id), self.advice(r.tier, r.class));
+        if let Some(pools) = &mut self.pools {
+            pools.turned_away(self.requests[&id].class);
+        }
         let no_other = !self.sickness.sick && self.fleet_full();
         out.push(Action::Refuse { id, stay_away_s, no_other });
         self.drop_request(id);
@@ -691,6 +751,9 @@
         r.stage = to.unwrap_or(from);
         r.on_cores += if from == Stage::Running { self.now - r.since } else { 0.0 };
         r.since = self.now;
+        if let Some(pools) = &mut self.pools {
+            pools.moved(r.class, from.place(), to.and_then(Stage::place));
+        }
         for (stage, enters) in [(Some(from), false), (to, true)] {
             let sign = if enters { 1.0 } else { -1.0 };
             let one = |n: &mut usize| *n = if enters { *n + 1 } else { n.saturating_sub(1) };
@@ -733,7 +796,11 @@
         let Some(r) = self.requests.get(&id) else { return };
         // Too late: it never started. A stopped run took its time on the cores, but says nothing of health.
         if r.stage == Stage::Running && outcome != Outcome::TooLate {
-            self.pace[r.class].has_ended(r.hint, r.on_cores + self.now - r.since);
+            let length = r.on_cores + self.now - r.since;
+            self.pace[r.class].has_ended(r.hint, length);
+            if let Some(pools) = &mut self.pools {
+                pools.run_ended(r.class, length);
+            }
             if outcome != Outcome::Stopped {
                 self.sickness.run_ended(self.now, outcome == Outcome::Error);
                 self.limit.ended += 1;
@@ -794,7 +861,7 @@
     /// where that can be done. Against runs of no use (bursts, hangs, costly requests); harm: asking again.
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id).filter(|r| !r.settled) else { return };
-        let (waits, stay_away_s) = (r.stage <= Stage::Sharing, self.advice(r.tier));
+        let (waits, stay_away_s) = (r.stage <= Stage::Sharing, self.advice(r.tier, r.class));
         let safe = !waits && self.class(r.class).effect == Effect::Safe;
         out.push(if safe { Action::Refuse { id, stay_away_s, no_other: true } } else { Action::Fail(id) });
         self.stop_run(id, out);
@@ -873,10 +940,8 @@
     /// A free slot starts the oldest of the highest non-empty tier. What can't end in time is refused, but
     /// for one run at a time: else a worker would never learn that it is quick again.
     fn start(&mut self, out: &mut Vec<Action>) {
-        while self.running() < self.limit.runs {
-            let can = |r: &Request, c: &Class| !c.calls || c.skipped_worth > 0.0 || !self.call_jam(r.tier);
-            let fits = |id: &&RequestId| can(&self.requests[*id], self.class(self.requests[*id].class));
-            let Some(&id) = self.hold.iter().flatten().find(fits) else { return };
+        loop {
+            let Some(id) = self.next_to_start() else { return };
             let r = &self.requests[&id];
             let ends = self.now + self.pace[r.class].plan(r.hint);
             let hopeless = ends > r.aim_at && (self.running() > 0 || self.now > r.aim_at);
@@ -902,8 +967,27 @@
         }
     }
 
+    fn next_to_start(&mut self) -> Option<RequestId> {
+        let (crowd, mut pools) = (self.crowd_limit(), self.pools.take());
+        let can = |r: &Request, c: &Class| !c.calls || c.skipped_worth > 0.0 || !self.call_jam(r.tier);
+        let fits = |id: &&RequestId| can(&self.requests[*id], self.class(self.requests[*id].class));
+        let mut held = self.hold.iter().flatten().filter(fits).copied();
+        let next = match &mut pools {
+            Some(pools) => pools.choose(held.map(|id| (id, self.requests[&id].class)), crowd),
+            None if self.running() < self.limit.runs => held.next(),
+            None => None,
+        };
+        self.pools = pools;
+        next
+    }
+
     fn woken(&mut self, gauges: &Gauges, out: &mut Vec<Action>) {
         out.push(Action::WakeIn(SWEEP_S));
+        let crowd = self.crowd_limit();
+        if let Some(pools) = &mut self.pools {
+            pools.look(self.now, crowd);
+            out.extend(pools.take_lines().into_iter().map(Action::Log));
+        }
         let stop = self.leave.map(|(_, stop)| stop - LEAVE_MARGIN_S);
         let ahead = self.now + SWEEP_S + 2.0 * self.set.wake_ahead_s;
         let ids: Vec<RequestId> = self.requests.iter().filter(|(_, r)| !r.settled).map(|(i, _)| *i).collect();
@@ -950,6 +1034,9 @@
             self.limit.runs -= 1;
         }
         self.limit.runs = self.limit.runs.min(self.crowd_limit()).max(floor);
+        if let Some(pools) = &self.pools {
+            self.limit.runs = pools.limit();
+        }
         self.usual = yardstick(self.usual, self.run_length());
         (self.limit.ended_before, self.limit.ended) = (self.limit.ended, 0);
         self.limit.ends = self.now + LIMIT_WINDOW_S;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -79,6 +79,44 @@
     Weight,
 }
 
+/// One pool of work: a part of the run slots for some classes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PoolItem {
+    /// Its name in the operator's file and in the log.
+    pub name: String,
+    /// The part of the common slots that is its own whenever it wants them (0 to 1).
+    pub guarantee: f64,
+    /// The part of the common slots that it takes at most (above 0, up to 1).
+    pub ceiling: f64,
+    /// Its part of what is free, against the weights of the other pools that want some.
+    pub weight: f64,
+    /// Requests that it holds at most.
+    pub queue: usize,
+}
+
+/// Pools of work by class, as an operator sets them up; checked, so that classes and pools fit each other.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PoolPlan {
+    /// Pools by number.
+    pub pools: Vec<PoolItem>,
+    /// By class: the number of its pool.
+    pub pool_of: Vec<usize>,
+    /// A pool and the slots of the limit that no other can take.
+    pub reserve: Option<(usize, usize)>,
+    /// Bounds of the limit on runs (slots).
+    pub least_slots: usize,
+    /// See above.
+    pub most_slots: usize,
+    /// How long a measured rate and a usual run length are believed (seconds).
+    pub window_s: f64,
+    /// How often the limit is looked at (seconds), and after how many ended runs at least.
+    pub look_s: f64,
+    /// See above.
+    pub samples: usize,
+    /// Runs this many times as long as the load explains mean that the executor has slowed.
+    pub slow_ratio: f64,
+}
+
 /// All that a controller is told when its worker starts.
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
@@ -132,6 +170,8 @@
     pub classes: Vec<Class>,
     /// Tenants by number.
     pub tenants: Vec<Tenant>,
+    /// Pools of work, where an operator set some up.
+    pub pools: Option<PoolPlan>,
 }
 
 /// A request that has been read and is now held.
@@ -221,6 +261,8 @@
     },
     /// A time asked for has come.
     Woken(Gauges),
+    /// The operator's pools are others from now on, or none.
+    Pools(Option<PoolPlan>),
 }
 
 /// What the worker is to do.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,10 +46,11 @@
 pub mod core;
 pub mod interface;
 pub mod net;
+pub mod pools;
 pub mod wire;
 
 pub use brain::Controller;
 pub use interface::{
-    Action, Arrival, Class, Dependency, Effect, Event, Gauges, Halting, Outcome, RequestId, Settings, Signal,
-    Tenant,
+    Action, Arrival, Class, Dependency, Effect, Event, Gauges, Halting, Outcome, PoolItem, PoolPlan,
+    RequestId, Settings, Signal, Tenant,
 };
