Begin the lab: models of what a worker speaks to, played in virtual time

Need: pools must be argued with figures, under load, a jump and a slow-down. Change: the repository is a workspace with lab/ as a member: an executor with shared cores, a knee and slow-downs, a records service, open-loop callers, experiments in TOML with bounds, and a player round the worker's own core.

--- /dev/null
+++ b/lab/src/executor.rs
@@ -0,0 +1,172 @@
+//! A model of the executor: runs share cores, crowd each other, slow down for a while, warm up, and stand at calls.
+
+use crate::experiment::{ExecutorModel, Slow};
+use std::collections::BTreeMap;
+
+/// What a request asks of the executor; callers write it into its body.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Work {
+    /// Core seconds at full speed before the call and after it.
+    pub before_s: f64,
+    pub after_s: f64,
+    pub calls: bool,
+}
+
+impl Work {
+    /// The body of a request that asks for this work.
+    pub fn body(&self) -> Vec<u8> {
+        format!("{:.6} {:.6} {}", self.before_s, self.after_s, u8::from(self.calls)).into_bytes()
+    }
+
+    /// Reads a body back; one that is none is no work at all.
+    pub fn read(body: &[u8]) -> Work {
+        let text = String::from_utf8_lossy(body);
+        let mut words = text.split(' ');
+        let mut number = || words.next().and_then(|w| w.parse::<f64>().ok()).unwrap_or(0.0).clamp(0.0, 600.0);
+        Work { before_s: number(), after_s: number(), calls: number() > 0.0 }
+    }
+}
+
+/// What the executor has to say.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Notice {
+    /// The end of a run, and whether a call was left out of it.
+    Exit(String, bool),
+    Callout(String),
+}
+
+#[derive(Clone, Debug)]
+struct Run {
+    left_s: f64,
+    after_s: Option<f64>,
+    poor: bool,
+}
+
+/// The executor of one worker.
+pub struct Executor {
+    model: ExecutorModel,
+    slows: Vec<Slow>,
+    now: f64,
+    /// On the cores, and standing at calls.
+    runs: BTreeMap<String, Run>,
+    at_calls: BTreeMap<String, Run>,
+    /// Whatever was started once is never started again.
+    begun: BTreeMap<String, ()>,
+    busy_s: f64,
+    /// Time integral of the runs on the cores, by whole tenths of a second.
+    tenths: Vec<f64>,
+    pub most_on_cores: usize,
+}
+
+impl Executor {
+    pub fn new(model: ExecutorModel, slows: Vec<Slow>) -> Executor {
+        Executor {
+            model,
+            slows,
+            now: 0.0,
+            runs: BTreeMap::new(),
+            at_calls: BTreeMap::new(),
+            begun: BTreeMap::new(),
+            busy_s: 0.0,
+            tenths: Vec::new(),
+            most_on_cores: 0,
+        }
+    }
+
+    pub fn on_cores(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Core seconds spent so far, for the gauge.
+    pub fn busy_s(&self) -> f64 {
+        self.busy_s
+    }
+
+    /// Speed of a core at a time, against full speed, crowding apart.
+    fn speed(&self, at: f64) -> f64 {
+        let m = &self.model;
+        let warmth =
+            if m.cold_s > 0.0 { (m.cold_from + (1.0 - m.cold_from) * at / m.cold_s).min(1.0) } else { 1.0 };
+        let slow = self.slows.iter().find(|s| (s.at_s..s.at_s + s.for_s).contains(&at));
+        m.speed * warmth / slow.map_or(1.0, |s| s.times)
+    }
+
+    /// Work done a second by each run: cores are shared evenly, and past the knee a crowd costs throughput.
+    fn rate(&self, at: f64) -> f64 {
+        let (n, cores) = (self.runs.len() as f64, self.model.cores as f64);
+        if n == 0.0 {
+            return 0.0;
+        }
+        let crowd = (n / (cores * self.model.knee) - 1.0).max(0.0);
+        self.speed(at) * (cores / n).min(1.0) / (1.0 + self.model.thrash * crowd)
+    }
+
+    /// Plays up to a time; what comes to an end or to a call on the way is told in order.
+    pub fn advance(&mut self, to: f64) -> Vec<(f64, Notice)> {
+        let mut out = Vec::new();
+        // Small steps, since speeds change with time; a run's end is met exactly within its step.
+        while self.now < to {
+            let rate = self.rate(self.now);
+            let least = self.runs.values().map(|r| r.left_s).fold(f64::INFINITY, f64::min);
+            let end = if rate > 0.0 { self.now + least / rate } else { f64::INFINITY };
+            let step = (end - self.now).clamp(1e-7, 0.01).min(to - self.now);
+            self.now += step;
+            let n = self.runs.len();
+            self.busy_s += step * (n as f64).min(self.model.cores as f64);
+            let tenth = (self.now * 10.0) as usize;
+            if self.tenths.len() <= tenth {
+                self.tenths.resize(tenth + 1, 0.0);
+            }
+            self.tenths[tenth] += n as f64 * step;
+            self.runs.values_mut().for_each(|r| r.left_s -= rate * step);
+            let done: Vec<String> =
+                self.runs.iter().filter(|(_, r)| r.left_s <= 1e-9).map(|(id, _)| id.clone()).collect();
+            for id in done {
+                let Some(run) = self.runs.remove(&id) else { continue };
+                if run.after_s.is_some() {
+                    self.at_calls.insert(id.clone(), run);
+                    out.push((self.now, Notice::Callout(id)));
+                } else {
+                    out.push((self.now, Notice::Exit(id, run.poor)));
+                }
+            }
+        }
+        out
+    }
+
+    /// When something may next happen, if nothing is said to it.
+    pub fn next(&self) -> Option<f64> {
+        let rate = self.rate(self.now);
+        let least = self.runs.values().map(|r| r.left_s).fold(f64::INFINITY, f64::min);
+        (rate > 0.0 && least.is_finite()).then(|| self.now + (least / rate).max(1e-6))
+    }
+
+    /// Starts a run; `false` for one that has begun before.
+    pub fn start(&mut self, id: &str, work: Work) -> bool {
+        if self.begun.insert(id.to_owned(), ()).is_some() {
+            return false;
+        }
+        let after_s = work.calls.then_some(work.after_s);
+        let left_s = if work.calls { work.before_s } else { work.before_s + work.after_s };
+        self.runs.insert(id.to_owned(), Run { left_s: left_s.max(1e-6), after_s, poor: false });
+        self.most_on_cores = self.most_on_cores.max(self.runs.len());
+        true
+    }
+
+    /// The call at which a run stands is over, or left out.
+    pub fn resume(&mut self, id: &str, left_out: bool) -> bool {
+        let Some(mut run) = self.at_calls.remove(id) else { return false };
+        run.left_s = run.after_s.take().unwrap_or(0.0).max(1e-6);
+        run.poor = left_out;
+        self.runs.insert(id.to_owned(), run);
+        self.most_on_cores = self.most_on_cores.max(self.runs.len());
+        true
+    }
+
+    /// The highest mean of runs on the cores over this time, for each core.
+    pub fn crowd_mean(&self, over_s: f64) -> f64 {
+        let n = ((over_s * 10.0) as usize).max(1);
+        let windows = self.tenths.windows(n.min(self.tenths.len().max(1)));
+        windows.map(|w| w.iter().sum::<f64>() / over_s).fold(0.0, f64::max) / self.model.cores as f64
+    }
+}
--- /dev/null
+++ b/lab/src/experiment.rs
@@ -0,0 +1,288 @@
+//! An experiment, as its TOML file has it: a worker's world, the load on it, variants to compare, and what must hold.
+
+use serde::Deserialize;
+use serde_json::{json, Value};
+use std::path::{Path, PathBuf};
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    pub name: String,
+    /// Each seed is played with each variant.
+    pub seeds: Vec<u64>,
+    pub length_s: f64,
+    /// What callers ask for in the mean, jumps apart, as a share of what the cores can do.
+    pub load: f64,
+    pub executor: ExecutorModel,
+    pub records: RecordsModel,
+    #[serde(default)]
+    pub callers: CallersModel,
+    pub class: Vec<ClassModel>,
+    /// Steps of the rate of all classes.
+    #[serde(default)]
+    pub jump: Vec<Jump>,
+    /// Times at which the executor is slower.
+    #[serde(default)]
+    pub slow: Vec<Slow>,
+    /// Times at which the records service answers nothing; `times` is not used.
+    #[serde(default)]
+    pub stall: Vec<Slow>,
+    pub variant: Vec<Variant>,
+    #[serde(default)]
+    pub expect: Vec<Expect>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ExecutorModel {
+    pub cores: u32,
+    /// Speed of each core.
+    #[serde(default = "one")]
+    pub speed: f64,
+    /// Runs a core past which crowding costs throughput, and how much of it for each such crowd.
+    #[serde(default = "knee")]
+    pub knee: f64,
+    #[serde(default = "thrash")]
+    pub thrash: f64,
+    /// A cold executor starts at this share of its speed and is warm after this time; 0 for a warm one.
+    #[serde(default)]
+    pub cold_from: f64,
+    #[serde(default)]
+    pub cold_s: f64,
+    /// Memory for held and running requests.
+    #[serde(default = "heap_kb")]
+    pub heap_kb: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RecordsModel {
+    pub slots: usize,
+    pub call_ms: f64,
+    /// Each call beyond the slots, as a share of them, makes calls longer by this much.
+    #[serde(default = "thrash")]
+    pub thrash: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallersModel {
+    /// Further tries of a client at most, and the least pause before one.
+    pub retries: u32,
+    pub pause_ms: f64,
+}
+
+impl Default for CallersModel {
+    fn default() -> Self {
+        CallersModel { retries: 1, pause_ms: 50.0 }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassModel {
+    pub name: String,
+    pub share: f64,
+    pub work_ms: f64,
+    pub cv: f64,
+    pub aim_ms: f64,
+    pub deadline_ms: f64,
+    pub worth: f64,
+    #[serde(default)]
+    pub late_worth: f64,
+    #[serde(default)]
+    pub keyed: bool,
+    /// The chance that a run calls below, and the share of the worth without the call; 0 forbids leaving it out.
+    #[serde(default)]
+    pub calls: f64,
+    #[serde(default)]
+    pub skip_worth: f64,
+    #[serde(default = "need_kb")]
+    pub need_kb: f64,
+    /// Steps of this class's rate alone.
+    #[serde(default)]
+    pub jump: Vec<Jump>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Jump {
+    pub at_s: f64,
+    pub for_s: f64,
+    pub times: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Slow {
+    pub at_s: f64,
+    pub for_s: f64,
+    #[serde(default = "one")]
+    pub times: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Variant {
+    pub name: String,
+    /// The operator's file, as text; none for a worker without one.
+    #[serde(default)]
+    pub operator: String,
+    /// Another build of the worker, for loopback; the one that the command names where left out.
+    pub worker: Option<PathBuf>,
+}
+
+/// A bound that must hold for a variant's mean over all seeds.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Expect {
+    pub variant: String,
+    pub metric: String,
+    pub class: Option<String>,
+    /// The metric is divided by the same one of this variant, seed by seed.
+    pub against: Option<String>,
+    pub least: Option<f64>,
+    pub most: Option<f64>,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn knee() -> f64 {
+    1.4
+}
+
+fn thrash() -> f64 {
+    0.7
+}
+
+fn heap_kb() -> f64 {
+    60_000.0
+}
+
+fn need_kb() -> f64 {
+    24.0
+}
+
+/// What `[[expect]]` may name.
+pub const METRICS: [&str; 9] = [
+    "in_aim",
+    "refused",
+    "worth",
+    "worth_by_work",
+    "crowd_of_bound",
+    "reserve_kept",
+    "owed",
+    "memory_growth",
+    "p99_ms",
+];
+
+impl Experiment {
+    /// Reads and checks a file; an error is one line that names it.
+    pub fn read(path: &Path) -> Result<Experiment, String> {
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Experiment::decode(&text).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    pub fn decode(text: &str) -> Result<Experiment, String> {
+        let e: Experiment = toml::from_str(text).map_err(|e| {
+            let at = e.span().map_or(0, |s| s.start.min(text.len()));
+            format!("line {}: {}", text[..at].matches('\n').count() + 1, e.message().replace('\n', " "))
+        })?;
+        let positive = |what: String, n: f64| {
+            if n.is_finite() && n > 0.0 {
+                Ok(())
+            } else {
+                Err(format!("{what} is {n}; expected above 0"))
+            }
+        };
+        positive("length_s".into(), e.length_s)?;
+        positive("load".into(), e.load)?;
+        positive("executor.cores".into(), f64::from(e.executor.cores))?;
+        positive("executor.speed".into(), e.executor.speed)?;
+        positive("records.slots".into(), e.records.slots as f64)?;
+        positive("records.call_ms".into(), e.records.call_ms)?;
+        for c in &e.class {
+            for (key, n) in [
+                ("share", c.share),
+                ("work_ms", c.work_ms),
+                ("cv", c.cv),
+                ("aim_ms", c.aim_ms),
+                ("deadline_ms", c.deadline_ms),
+                ("worth", c.worth),
+            ] {
+                positive(format!("class {:?}: {key}", c.name), n)?;
+            }
+        }
+        for s in e.slow.iter().chain(&e.stall) {
+            positive("slow.times".into(), s.times)?;
+        }
+        if e.seeds.is_empty() || e.variant.is_empty() || e.class.is_empty() {
+            return Err("seeds, variant or class is empty; expected one at least".to_owned());
+        }
+        let variant = |name: &String| e.variant.iter().any(|v| v.name == *name);
+        for x in &e.expect {
+            if !METRICS.contains(&x.metric.as_str()) {
+                return Err(format!(
+                    "expect: there is no metric {:?}; expected one of {METRICS:?}",
+                    x.metric
+                ));
+            }
+            if let Some(v) =
+                [Some(&x.variant), x.against.as_ref()].into_iter().flatten().find(|v| !variant(v))
+            {
+                return Err(format!("expect: there is no variant {v:?}"));
+            }
+            if let Some(c) = x.class.as_ref().filter(|c| !e.class.iter().any(|k| k.name == **c)) {
+                return Err(format!("expect: there is no class {c:?}"));
+            }
+            if x.least.is_none() && x.most.is_none() {
+                return Err(format!("expect {:?}: expected least or most", x.metric));
+            }
+        }
+        Ok(e)
+    }
+
+    /// Core seconds of a request in the mean.
+    pub fn mean_work_s(&self) -> f64 {
+        let shares: f64 = self.class.iter().map(|c| c.share).sum();
+        self.class.iter().map(|c| c.share * c.work_ms / 1000.0).sum::<f64>() / shares
+    }
+
+    /// Requests a second, for shares that add up to 1.
+    pub fn rate_per_s(&self) -> f64 {
+        let shares: f64 = self.class.iter().map(|c| c.share).sum();
+        self.load * f64::from(self.executor.cores) * self.executor.speed / self.mean_work_s() / shares
+    }
+
+    /// The worker's configuration, for peers at these addresses.
+    pub fn config(&self, listen: &str, executor: &str, records: &str, registry: &str) -> Value {
+        let list = |of: &dyn Fn(&ClassModel) -> Value| self.class.iter().map(of).collect::<Vec<_>>();
+        let profile = |c: &ClassModel| {
+            json!({"name": c.name, "credit": c.worth, "targetS": c.aim_ms / 1000.0, "lateWorth": c.late_worth,
+                "deadlineS": c.deadline_ms / 1000.0, "effect": if c.keyed { "keyed" } else { "safe" },
+                "windowS": 10.0})
+        };
+        json!({
+            "name": "lab", "listen": listen, "executor": executor, "records": records, "registry": registry,
+            "seed": "1", "stop_ms": 3200, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "settings": {
+                "profiles": list(&profile),
+                "tenants": [{"name": "lab", "quotaPerS": 1e6, "share": 1.0}],
+                "domain": {
+                    "nCores": self.executor.cores, "heapKb": self.executor.heap_kb, "runFactor": 8.0,
+                    "entryKb": 100.0, "idleS": 30.0, "cold": self.executor.cold_s > 0.0,
+                    "dependsOn": "one_for_all", "fairCalls": self.records.slots, "depWindowS": 5.0,
+                    "staysForS": 0.2, "classCalls": list(&|c| json!(c.calls > 0.0)),
+                    "degradedWorth": list(&|c| json!(c.skip_worth)), "passesDeadline": true, "signal": "weight",
+                    "ownStats": ["cpu_busy", "runnable", "mem_used", "sockets"], "senders": 4
+                },
+                "contract": {"fallMultiple": 8.0, "tipAfterS": 3.0, "drainGraceS": 2.5, "graceToAnswerS": 0.1,
+                    "coldFrom": self.executor.cold_from, "coldS": self.executor.cold_s},
+                "limits": {"maxRetryAfterS": 1.0, "retryAfter": true},
+                "clients": {"marksRetry": true}, "overShareWorth": 0.1, "servers": 1, "periodS": 0.004
+            }
+        })
+    }
+}
--- /dev/null
+++ b/lab/src/measure.rs
@@ -0,0 +1,227 @@
+//! What a play came to: by class and in all, as a table and as JSON, and whether an experiment's bounds hold.
+
+use crate::callers::Asked;
+use crate::experiment::{Expect, Experiment};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::fmt::Write;
+
+/// Runs a core, in the mean of this time, are what the crowd rule bounds (seconds, runs a core).
+pub const CROWD_S: f64 = 3.0;
+pub const CROWD_BOUND: f64 = 8.0;
+
+/// How a request ended for its client, all tries together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum End {
+    /// Served at this time, with the call or without.
+    Served {
+        at: f64,
+        poor: bool,
+    },
+    Refused,
+    Failed,
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct ClassResult {
+    pub name: String,
+    pub asked: u64,
+    pub in_aim: u64,
+    pub late: u64,
+    pub poor: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+}
+
+/// One play of one variant with one seed.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Play {
+    pub variant: String,
+    pub seed: u64,
+    pub classes: Vec<ClassResult>,
+    /// Worth answered within the aim over worth asked for, by request and by work.
+    pub worth: f64,
+    pub worth_by_work: f64,
+    /// The crowd rule's mean against its bound.
+    pub crowd_of_bound: f64,
+    pub most_on_cores: usize,
+    /// Wake-ups at which the reserve's pool waited with a reserved slot free.
+    pub reserve_kept: u64,
+    /// Answers still owed at the end.
+    pub owed: u64,
+    /// Resident memory of the worker at the end against a quarter into the play; 1 where none was read.
+    pub memory_growth: f64,
+    /// Processor time of the worker a request (milliseconds); 0 where none was read.
+    pub cpu_ms: f64,
+    /// The limit over time, where pools are on: seconds, slots, cause.
+    pub limits: Vec<(f64, usize, String)>,
+}
+
+impl Play {
+    pub fn of(
+        experiment: &Experiment,
+        variant: &str,
+        seed: u64,
+        asked: &[Asked],
+        ends: &[Option<End>],
+    ) -> Play {
+        let mut play = Play { variant: variant.to_owned(), seed, memory_growth: 1.0, ..Play::default() };
+        let (mut worth, mut of, mut work_worth, mut work_of) = (0.0, 0.0, 0.0, 0.0);
+        for (number, class) in experiment.class.iter().enumerate() {
+            let mut r = ClassResult { name: class.name.clone(), ..ClassResult::default() };
+            // A minute at most, to three digits; such bounds are always good.
+            let mut times = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).ok();
+            for (a, end) in asked.iter().zip(ends).filter(|(a, _)| a.class == number) {
+                let work = a.work.before_s + a.work.after_s;
+                r.asked += 1;
+                of += class.worth;
+                work_of += class.worth * work;
+                match end {
+                    Some(End::Served { at, poor }) => {
+                        let took = at - a.at;
+                        if let Some(times) = &mut times {
+                            times.saturating_record((took * 1e6).max(1.0) as u64);
+                        }
+                        let in_aim = took * 1000.0 <= class.aim_ms;
+                        if in_aim {
+                            r.in_aim += 1
+                        } else {
+                            r.late += 1
+                        }
+                        r.poor += u64::from(*poor);
+                        let kept = if *poor { class.skip_worth } else { 1.0 };
+                        let part = if in_aim { 1.0 } else { class.late_worth } * kept;
+                        worth += class.worth * part;
+                        work_worth += class.worth * part * work;
+                    }
+                    Some(End::Refused) => r.refused += 1,
+                    Some(End::Failed) => r.failed += 1,
+                    None => play.owed += 1,
+                }
+            }
+            if let Some(times) = times {
+                r.p50_ms = times.value_at_quantile(0.5) as f64 / 1000.0;
+                r.p99_ms = times.value_at_quantile(0.99) as f64 / 1000.0;
+            }
+            play.classes.push(r);
+        }
+        (play.worth, play.worth_by_work) = (worth / f64::max(of, 1e-9), work_worth / f64::max(work_of, 1e-9));
+        play
+    }
+
+    /// A metric by its name, of one class where it is one of classes.
+    pub fn metric(&self, name: &str, class: Option<&str>) -> f64 {
+        let classes = || self.classes.iter().filter(|c| class.map_or(true, |name| c.name == name));
+        let share = |n: fn(&ClassResult) -> u64| {
+            let (part, all) = classes().fold((0, 0), |(p, a), c| (p + n(c), a + c.asked));
+            part as f64 / (all as f64).max(1.0)
+        };
+        match name {
+            "in_aim" => share(|c| c.in_aim),
+            "refused" => share(|c| c.refused),
+            "worth" => self.worth,
+            "worth_by_work" => self.worth_by_work,
+            "crowd_of_bound" => self.crowd_of_bound,
+            "reserve_kept" => self.reserve_kept as f64,
+            "owed" => self.owed as f64,
+            "memory_growth" => self.memory_growth,
+            "p99_ms" => classes().map(|c| c.p99_ms).fold(0.0, f64::max),
+            _ => f64::NAN,
+        }
+    }
+}
+
+/// Mean and half-width of a 95% interval (t, two-sided) over seeds; infinitely wide for one seed.
+pub fn interval(values: &[f64]) -> (f64, f64) {
+    // Quantiles of Student's t for 1 to 10 degrees of freedom; beyond, the normal one is near enough.
+    const T: [f64; 10] = [12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228];
+    let n = values.len() as f64;
+    let mean = values.iter().sum::<f64>() / n.max(1.0);
+    if values.len() < 2 {
+        return (mean, f64::INFINITY);
+    }
+    let variance = values.iter().map(|v| (v - mean).powi(2)).sum::<f64>() / (n - 1.0);
+    let t = T.get(values.len() - 2).copied().unwrap_or(1.96);
+    (mean, t * (variance / n).sqrt())
+}
+
+/// Values of a bound's metric, seed by seed.
+pub fn values(plays: &[Play], expect: &Expect) -> Vec<f64> {
+    let of = |variant: &str, seed: u64| plays.iter().find(|p| p.variant == variant && p.seed == seed);
+    let own = plays.iter().filter(|p| p.variant == expect.variant);
+    own.filter_map(|p| {
+        let value = p.metric(&expect.metric, expect.class.as_deref());
+        match &expect.against {
+            None => Some(value),
+            Some(other) => {
+                Some(value / of(other, p.seed)?.metric(&expect.metric, expect.class.as_deref()).max(1e-9))
+            }
+        }
+    })
+    .collect()
+}
+
+/// The bounds of an experiment, a line each, and whether all hold. A mean over all seeds is held against them.
+pub fn verdict(experiment: &Experiment, plays: &[Play]) -> (String, bool) {
+    let (mut text, mut good) = (String::new(), true);
+    for x in &experiment.expect {
+        let (mean, half) = interval(&values(plays, x));
+        let holds = x.least.map_or(true, |l| mean >= l) && x.most.map_or(true, |m| mean <= m);
+        good &= holds;
+        let class = x.class.as_ref().map_or(String::new(), |c| format!(" of {c}"));
+        let against = x.against.as_ref().map_or(String::new(), |a| format!(" against {a}"));
+        let bounds = [("at least", x.least), ("at most", x.most)];
+        let bounds: Vec<String> =
+            bounds.iter().filter_map(|(word, b)| b.map(|b| format!("{word} {b}"))).collect();
+        let word = if holds { "holds" } else { "BROKEN" };
+        let (variant, metric, bounds) = (&x.variant, &x.metric, bounds.join(", "));
+        let _ = writeln!(
+            text,
+            "{word:6}  {variant}: {metric}{class}{against} = {mean:.4} +- {half:.4}  ({bounds})"
+        );
+    }
+    (text, good)
+}
+
+/// A table by variant and class, means over seeds.
+pub fn table(experiment: &Experiment, plays: &[Play]) -> String {
+    let mut text = String::from(
+        "| variant | class | asked | in aim | late | poorer | refused | failed | p50 ms | p99 ms |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    for variant in &experiment.variant {
+        let own: Vec<&Play> = plays.iter().filter(|p| p.variant == variant.name).collect();
+        let n = own.len().max(1) as f64;
+        for class in 0..experiment.class.len() {
+            let mean =
+                |of: &dyn Fn(&ClassResult) -> f64| own.iter().map(|p| of(&p.classes[class])).sum::<f64>() / n;
+            let asked = mean(&|c| c.asked as f64).max(1e-9);
+            let part = |of: fn(&ClassResult) -> u64| 100.0 * mean(&|c| of(c) as f64) / asked;
+            let _ = writeln!(
+                text,
+                "| {} | {} | {asked:.0} | {:.1}% | {:.1}% | {:.1}% | {:.1}% | {:.1}% | {:.0} | {:.0} |",
+                variant.name,
+                experiment.class[class].name,
+                part(|c| c.in_aim),
+                part(|c| c.late),
+                part(|c| c.poor),
+                part(|c| c.refused),
+                part(|c| c.failed),
+                mean(&|c| c.p50_ms),
+                mean(&|c| c.p99_ms)
+            );
+        }
+        let mean = |of: &dyn Fn(&Play) -> f64| interval(&own.iter().map(|p| of(p)).collect::<Vec<_>>());
+        let ((worth, w), (by_work, b)) = (mean(&|p| p.worth), mean(&|p| p.worth_by_work));
+        let (crowd, cpu) = (mean(&|p| p.crowd_of_bound).0, mean(&|p| p.cpu_ms).0);
+        let _ = writeln!(
+            text,
+            "| {} | all | | worth {worth:.4} +- {w:.4} | by work {by_work:.4} +- {b:.4} | crowd {crowd:.3} of bound | \
+             cpu {cpu:.3} ms | | | |",
+            variant.name
+        );
+    }
+    text
+}
--- /dev/null
+++ b/lab/src/virtual_time.rs
@@ -0,0 +1,225 @@
+//! Plays an experiment in virtual time round the worker's own core: no sockets, no clock, the same seed gives the
+//! same play.
+
+use crate::callers::{again, draw, Asked};
+use crate::executor::{Executor, Notice};
+use crate::experiment::{Experiment, Variant};
+use crate::measure::{End, Play, CROWD_BOUND, CROWD_S};
+use crate::records::Records;
+use honeypost::config::{Config, Operator};
+use honeypost::core::{Answer, Command, Core, Input, Request, Ticket};
+use honeypost::{Gauges, Outcome};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+/// A play goes on for this long after the last arrival (seconds).
+const AFTER_S: f64 = 8.0;
+/// The core keeps results of keyed runs in so many bytes.
+const RESULT_BYTES: usize = 16 << 20;
+
+struct World<'a> {
+    experiment: &'a Experiment,
+    asked: &'a [Asked],
+    core: Core,
+    executor: Executor,
+    records: Records,
+    /// Tries to come: time in microseconds, number of the request, which try.
+    tries: BTreeMap<(u64, usize), u32>,
+    /// Tickets stand for a request and its try.
+    open: BTreeMap<u64, (usize, u32)>,
+    ends: Vec<Option<End>>,
+    poor: BTreeMap<usize, bool>,
+    until: BTreeMap<String, f64>,
+    wake: f64,
+    tickets: u64,
+    busy: (f64, f64),
+    reserve_kept: u64,
+    limits: Vec<(f64, usize, String)>,
+}
+
+/// Plays one variant with one seed.
+pub fn play(experiment: &Experiment, variant: &Variant, seed: u64) -> Result<Play, String> {
+    let nowhere = "127.0.0.1:1";
+    let config = Config::decode(&experiment.config(nowhere, nowhere, nowhere, nowhere).to_string())?;
+    let operator = Operator::decode(&variant.operator, &config)?;
+    let mut settings = config.settings.settings(1);
+    settings.entry_kb = 0.0;
+    settings.pools = operator.pools.as_ref().map(|p| p.plan(&config.settings)).transpose()?;
+    let asked = draw(experiment, seed);
+    let mut out = Vec::new();
+    let core = Core::new(settings, 0.0, RESULT_BYTES, &mut out);
+    let mut world = World {
+        experiment,
+        asked: &asked,
+        core,
+        executor: Executor::new(experiment.executor.clone(), experiment.slow.clone()),
+        records: Records::new(experiment.records.clone(), experiment.stall.clone()),
+        tries: asked.iter().map(|a| (((a.at * 1e6) as u64, a.number), 1)).collect(),
+        open: BTreeMap::new(),
+        ends: vec![None; asked.len()],
+        poor: BTreeMap::new(),
+        until: BTreeMap::new(),
+        wake: f64::INFINITY,
+        tickets: 0,
+        busy: (0.0, 0.0),
+        reserve_kept: 0,
+        limits: Vec::new(),
+    };
+    world.carry_out(0.0, out);
+    world.run(experiment.length_s + AFTER_S);
+    let mut play = Play::of(experiment, &variant.name, seed, &asked, &world.ends);
+    play.crowd_of_bound = world.executor.crowd_mean(CROWD_S) / CROWD_BOUND;
+    play.most_on_cores = world.executor.most_on_cores;
+    play.reserve_kept = world.reserve_kept;
+    play.limits = world.limits;
+    Ok(play)
+}
+
+fn name_of(ticket: u64) -> String {
+    format!("{ticket:016x}")
+}
+
+impl World<'_> {
+    fn run(&mut self, end: f64) {
+        let mut now = 0.0;
+        while now < end {
+            let next_try = self.tries.keys().next().map(|(at, _)| *at as f64 / 1e6);
+            let call_over = self.until.values().copied().fold(f64::INFINITY, f64::min);
+            let times =
+                [next_try, self.executor.next(), self.records.next(), Some(call_over), Some(self.wake)];
+            // A step past a speed change is broken off there: 10 ms at most, like the model's own.
+            let next = times.into_iter().flatten().fold(now + 0.01, f64::min).max(now + 1e-6);
+            now = next;
+            let mut inputs = Vec::new();
+            for (_, notice) in self.executor.advance(now) {
+                inputs.push(match notice {
+                    Notice::Exit(id, poor) => {
+                        if let Some((number, _)) = number_of(&id).and_then(|t| self.open.get(&t).copied()) {
+                            self.poor.insert(number, poor);
+                        }
+                        let result = Some(Rc::from(&b"done"[..]));
+                        Input::RunEnded { name: id.as_str().into(), outcome: Outcome::Ok, result }
+                    }
+                    Notice::Callout(id) => {
+                        Input::AtCall { name: id.as_str().into(), body: Rc::from(&b"?"[..]), mark: 0 }
+                    }
+                });
+            }
+            for id in self.records.advance(now) {
+                if self.until.remove(&id).is_some() {
+                    let reply = Some(Rc::from(&b"!"[..]));
+                    inputs.push(Input::CallEnded { name: id.as_str().into(), outcome: Outcome::Ok, reply });
+                }
+            }
+            let over: Vec<String> =
+                self.until.iter().filter(|(_, at)| **at <= now).map(|(id, _)| id.clone()).collect();
+            for id in over {
+                self.until.remove(&id);
+                self.records.give_up(&id);
+                inputs.push(Input::CallEnded {
+                    name: id.as_str().into(),
+                    outcome: Outcome::TimedOut,
+                    reply: None,
+                });
+            }
+            while let Some((&(at, number), &tries)) =
+                self.tries.iter().next().filter(|((at, _), _)| *at as f64 / 1e6 <= now)
+            {
+                self.tries.remove(&(at, number));
+                inputs.push(Input::Arrived(self.request(now, number, tries)));
+            }
+            if now >= self.wake {
+                self.wake = f64::INFINITY;
+                inputs.push(Input::Woken(self.gauges(now)));
+            }
+            let mut out = Vec::new();
+            self.core.handle(now, inputs, &mut out);
+            self.carry_out(now, out);
+        }
+    }
+
+    fn gauges(&mut self, now: f64) -> Gauges {
+        let (since, before) = self.busy;
+        let cores = f64::from(self.experiment.executor.cores);
+        let busy = if now > since { (self.executor.busy_s() - before) / (now - since) / cores } else { 0.0 };
+        self.busy = (now, self.executor.busy_s());
+        if let Some(state) = self.core.pools() {
+            if self.limits.last().map_or(true, |l| l.1 != state.limit_slots) {
+                self.limits.push((now, state.limit_slots, state.cause.to_owned()));
+            }
+            self.reserve_kept = state.reserve_kept;
+        }
+        Gauges { cores_busy: Some(busy), runnable: Some(self.executor.on_cores() as f64), connections: None }
+    }
+
+    fn request(&mut self, now: f64, number: usize, tries: u32) -> Request {
+        let a = &self.asked[number];
+        let class = &self.experiment.class[a.class];
+        self.tickets += 1;
+        self.open.insert(self.tickets, (number, tries));
+        Request {
+            ticket: Ticket(self.tickets),
+            name: name_of(self.tickets).into(),
+            class: a.class,
+            tenant: Some(0),
+            caller: 1,
+            kb: a.need_kb,
+            unread_s: 0.0,
+            patience_s: (a.at + class.deadline_ms / 1000.0 - now).max(0.01),
+            size_s: None,
+            key: class.keyed.then(|| format!("k{number}").into()),
+            retry: tries > 1,
+            body: a.work.body().into(),
+        }
+    }
+
+    fn answered(&mut self, now: f64, ticket: u64, answer: Answer) {
+        let Some((number, tries)) = self.open.remove(&ticket) else { return };
+        let (end, advice) = match answer {
+            Answer::Served(_) => {
+                let poor = self.poor.remove(&number).unwrap_or(false);
+                self.ends[number] = Some(End::Served { at: now, poor });
+                return;
+            }
+            Answer::Refused { stay_away_s, .. } => (End::Refused, stay_away_s),
+            _ => (End::Failed, 0.0),
+        };
+        // A client that tries again has not ended; its end is that of the last try.
+        match again(self.experiment, tries, now, &self.asked[number], advice) {
+            Some(at) => drop(self.tries.insert(((at * 1e6) as u64, number), tries + 1)),
+            None => self.ends[number] = Some(end),
+        }
+    }
+
+    fn carry_out(&mut self, now: f64, commands: Vec<Command>) {
+        let mut commands = VecDeque::from(commands);
+        while let Some(command) = commands.pop_front() {
+            match command {
+                Command::Answer(ticket, answer) => self.answered(now, ticket.0, answer),
+                Command::Run { name, body, .. } => {
+                    self.executor.start(&name, crate::executor::Work::read(&body));
+                }
+                Command::Call { name, for_s, .. } => {
+                    self.records.call(now, &name);
+                    self.until.insert(name.to_string(), now + for_s);
+                }
+                Command::GiveUpCall(name) => {
+                    self.until.remove(&*name);
+                    self.records.give_up(&name);
+                }
+                Command::Resume { name, .. } => {
+                    self.executor.resume(&name, false);
+                }
+                Command::SkipCall { name, .. } => {
+                    self.executor.resume(&name, true);
+                }
+                Command::WakeIn(after) => self.wake = now + after,
+                Command::Health(_) | Command::Publish(_) | Command::Log(_) => {}
+            }
+        }
+    }
+}
+
+fn number_of(name: &str) -> Option<u64> {
+    u64::from_str_radix(name, 16).ok()
+}
