Play experiments on loopback, and learn run lengths in calm looks alone

Need: on loopback the limit crept to 9 slots on 6 cores, since runs back from calls keep the cores fuller than the limit and the usual length was learnt in that crowd. Change: a usual length counts only from calm looks, the limit rests for a look where none comes by itself, ends weigh by what they tell (Kish), and the capacity follows evenly. lab/src/sockets.rs plays an experiment on real sockets.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -166,7 +166,7 @@
 }
 
 /// What `[[expect]]` may name.
-pub const METRICS: [&str; 9] = [
+pub const METRICS: [&str; 10] = [
     "in_aim",
     "refused",
     "worth",
@@ -176,6 +176,7 @@
     "owed",
     "memory_growth",
     "p99_ms",
+    "cpu_ms",
 ];
 
 impl Experiment {
--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -127,6 +127,7 @@
             "reserve_kept" => self.reserve_kept as f64,
             "owed" => self.owed as f64,
             "memory_growth" => self.memory_growth,
+            "cpu_ms" => self.cpu_ms,
             "p99_ms" => classes().map(|c| c.p99_ms).fold(0.0, f64::max),
             _ => f64::NAN,
         }
--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -1,9 +1,513 @@
-//! Plays an experiment on loopback: a real worker, and the models behind real sockets.
+//! Plays an experiment on loopback: a real worker, and the models behind real sockets, in real time.
+//!
+//! A thread or two for each peer and one for each request in flight: simple, and bounded by the experiment's length
+//! and its callers. What callers send is drawn ahead, so that two variants get the same requests at the same times.
 
+use crate::callers::{again, draw, Asked};
+use crate::executor::{Executor, Notice, Work};
 use crate::experiment::{Experiment, Variant};
-use crate::measure::Play;
+use crate::measure::{End, Play, CROWD_BOUND, CROWD_S};
+use crate::records::Records;
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-pub fn play(_: &Experiment, _: &Variant, _: u64, _: &Path) -> Result<Play, String> {
-    Err("not yet".to_owned())
+/// Callers that can wait for an answer at once; the worker takes fewer connections than that many.
+const CALLERS: usize = 448;
+/// How long a client waits for an answer beyond its deadline before it counts as owed (seconds).
+const PATIENCE_S: f64 = 1.0;
+/// How long the worker may take to come up and to leave.
+const START: Duration = Duration::from_secs(10);
+
+static NAMES: AtomicU64 = AtomicU64::new(1);
+
+/// The play's clock: seconds since the callers start.
+#[derive(Clone, Copy)]
+struct Clock(Instant);
+
+impl Clock {
+    fn now(&self) -> f64 {
+        Instant::now().saturating_duration_since(self.0).as_secs_f64()
+    }
+
+    fn sleep_until(&self, at: f64) {
+        let left = at - self.now();
+        if left > 0.0 {
+            thread::sleep(Duration::from_secs_f64(left));
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn listener() -> Result<(TcpListener, SocketAddr), String> {
+    let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+    let address = listener.local_addr().map_err(|e| e.to_string())?;
+    Ok((listener, address))
+}
+
+/// Accepts connections until the play is over.
+fn accept_until(
+    listener: TcpListener,
+    over: Arc<AtomicBool>,
+    mut take: impl FnMut(TcpStream) + Send + 'static,
+) {
+    let _ = listener.set_nonblocking(true);
+    thread::spawn(move || {
+        while !over.load(Ordering::Relaxed) {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nonblocking(false);
+                    let _ = stream.set_nodelay(true);
+                    take(stream);
+                }
+                Err(_) => thread::sleep(Duration::from_millis(1)),
+            }
+        }
+    });
+}
+
+/// Plays one variant with one seed against a worker's program.
+pub fn play(experiment: &Experiment, variant: &Variant, seed: u64, worker: &Path) -> Result<Play, String> {
+    let asked = Arc::new(draw(experiment, seed));
+    let over = Arc::new(AtomicBool::new(false));
+    let (executor_door, executor_at) = listener()?;
+    let (records_door, records_at) = listener()?;
+    let registry = UdpSocket::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+    let registry_at = registry.local_addr().map_err(|e| e.to_string())?;
+    let config = experiment.config(
+        "127.0.0.1:0",
+        &executor_at.to_string(),
+        &records_at.to_string(),
+        &registry_at.to_string(),
+    );
+    // The play begins when the worker is up; what is before that is time below 0, which the models never see.
+    let clock = Clock(Instant::now() + Duration::from_millis(700));
+    let executor = serve_executor(executor_door, experiment, clock, &over);
+    serve_records(records_door, experiment, clock, &over);
+    let mut child = Worker::start(variant.worker.as_deref().unwrap_or(worker), &config, &variant.operator)?;
+    let address = child.address()?;
+    clock.sleep_until(0.0);
+    let ends = Arc::new(Mutex::new(vec![None; asked.len()]));
+    let doors = call(experiment, &asked, clock, address, &ends);
+    let cpu_before = child.cpu_ms();
+    clock.sleep_until(experiment.length_s / 4.0);
+    let memory = child.resident_kb();
+    for door in doors {
+        let _ = door.join();
+    }
+    let (memory_after, cpu_after) = (child.resident_kb(), child.cpu_ms());
+    let lines = child.leave()?;
+    over.store(true, Ordering::Relaxed);
+    let executor = executor.join().map_err(|_| "the executor's thread ended badly".to_owned())?;
+    let mut play = Play::of(experiment, &variant.name, seed, &asked, &lock(&ends));
+    play.crowd_of_bound = executor.crowd_mean(CROWD_S) / CROWD_BOUND;
+    play.most_on_cores = executor.most_on_cores;
+    play.memory_growth = memory_after / memory.max(1.0);
+    play.cpu_ms = (cpu_after - cpu_before) / asked.len().max(1) as f64;
+    for line in &lines {
+        read_line(line, &mut play);
+    }
+    Ok(play)
+}
+
+/// Takes what the worker's log says of its pools.
+fn read_line(line: &str, play: &mut Play) {
+    let time = line.split(' ').next().and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
+    if let Some(state) =
+        line.split_once("pools: state ").and_then(|(_, s)| serde_json::from_str::<Value>(s).ok())
+    {
+        play.reserve_kept = state["reserve_kept"].as_u64().unwrap_or(u64::MAX);
+    } else if let Some((_, rest)) = line.split_once("pools: limit=") {
+        let mut words = rest.split(' ');
+        let limit = words.next().and_then(|w| w.parse().ok()).unwrap_or(0);
+        let cause = words.find_map(|w| w.strip_prefix("cause=")).unwrap_or("");
+        play.limits.push((time, limit, cause.to_owned()));
+    }
+}
+
+/// A worker's process. Dropping it ends it.
+struct Worker {
+    child: Child,
+    lines: Receiver<String>,
+    folder: std::path::PathBuf,
+}
+
+impl Worker {
+    fn start(program: &Path, config: &Value, operator: &str) -> Result<Worker, String> {
+        let number = NAMES.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("honeypost-lab-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
+        let write = |name: &str, text: &str| {
+            std::fs::write(folder.join(name), text)
+                .map_err(|e| format!("{}: {e}", folder.join(name).display()))
+        };
+        write("config.json", &config.to_string())?;
+        let mut command = Command::new(program);
+        command.env("ROUTER_CONFIG", folder.join("config.json")).stderr(Stdio::piped());
+        if !operator.is_empty() {
+            write("operator.toml", operator)?;
+            command.arg("--operator").arg(folder.join("operator.toml"));
+        }
+        let mut child = command.spawn().map_err(|e| format!("{}: {e}", program.display()))?;
+        let (sender, lines) = channel();
+        if let Some(stderr) = child.stderr.take() {
+            let reader = BufReader::new(stderr);
+            thread::spawn(move || reader.lines().map_while(Result::ok).try_for_each(|l| sender.send(l)));
+        }
+        Ok(Worker { child, lines, folder })
+    }
+
+    fn address(&mut self) -> Result<SocketAddr, String> {
+        loop {
+            let line = self.lines.recv_timeout(START).map_err(|_| "the worker did not come up".to_owned())?;
+            if let Some((_, address)) = line.split_once("http on ") {
+                return address.trim().parse().map_err(|_| format!("the worker says {line:?}"));
+            }
+            if line.starts_with("honeypost: ") {
+                return Err(line);
+            }
+        }
+    }
+
+    fn proc(&self, what: &str) -> String {
+        std::fs::read_to_string(format!("/proc/{}/{what}", self.child.id())).unwrap_or_default()
+    }
+
+    fn resident_kb(&self) -> f64 {
+        let status = self.proc("status");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0.0)
+    }
+
+    fn cpu_ms(&self) -> f64 {
+        let stat = self.proc("schedstat");
+        stat.split(' ').next().and_then(|ns| ns.parse::<f64>().ok()).unwrap_or(0.0) / 1e6
+    }
+
+    /// Gives the notice to leave and waits for the end; what is left of the log.
+    fn leave(&mut self) -> Result<Vec<String>, String> {
+        let id = self.child.id().to_string();
+        let _ = Command::new("kill").args(["-TERM", &id]).status();
+        let until = Instant::now() + START;
+        loop {
+            if let Some(status) = self.child.try_wait().map_err(|e| e.to_string())? {
+                if !status.success() {
+                    return Err(format!("the worker ended badly: {status}"));
+                }
+                let mut lines: Vec<String> = Vec::new();
+                while let Ok(line) = self.lines.recv_timeout(Duration::from_millis(200)) {
+                    lines.push(line);
+                }
+                return Ok(lines);
+            }
+            if Instant::now() > until {
+                return Err("the worker does not leave".to_owned());
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Worker {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+enum Heard {
+    Link(TcpStream),
+    Line(String),
+}
+
+/// The executor behind its protocol: one thread takes links and lines, one plays the model.
+fn serve_executor(
+    door: TcpListener,
+    experiment: &Experiment,
+    clock: Clock,
+    over: &Arc<AtomicBool>,
+) -> thread::JoinHandle<Executor> {
+    let model = Executor::new(experiment.executor.clone(), experiment.slow.clone());
+    let (sender, heard) = channel::<Heard>();
+    accept_until(door, over.clone(), move |stream| {
+        let Ok(writer) = stream.try_clone() else { return };
+        let _ = sender.send(Heard::Link(writer));
+        let sender = sender.clone();
+        thread::spawn(move || {
+            let lines = BufReader::new(stream).lines();
+            lines.map_while(Result::ok).try_for_each(|l| sender.send(Heard::Line(l)))
+        });
+    });
+    let over = over.clone();
+    let cold = experiment.executor.cold_s > 0.0;
+    let cores = f64::from(experiment.executor.cores);
+    thread::spawn(move || {
+        let mut site = ExecutorSite { model, link: None, notices: Vec::new(), cold, cores, busy: (0.0, 0.0) };
+        while !over.load(Ordering::Relaxed) {
+            let now = clock.now();
+            let wait = site.model.next().map_or(0.05, |at| at - now).clamp(0.0, 0.05);
+            match heard.recv_timeout(Duration::from_secs_f64(wait)) {
+                Ok(Heard::Link(stream)) => site.link = Some(stream),
+                Ok(Heard::Line(line)) => {
+                    site.pass(clock.now());
+                    site.take(clock.now(), &line);
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => break,
+            }
+            site.pass(clock.now());
+        }
+        site.model
+    })
+}
+
+struct ExecutorSite {
+    model: Executor,
+    link: Option<TcpStream>,
+    notices: Vec<String>,
+    cold: bool,
+    cores: f64,
+    busy: (f64, f64),
+}
+
+impl ExecutorSite {
+    fn say(&mut self, line: &str) {
+        if let Some(link) = &mut self.link {
+            if link.write_all(format!("{line}\n").as_bytes()).is_err() {
+                self.link = None;
+            }
+        }
+    }
+
+    fn notice(&mut self, mut notice: Value) {
+        notice["n"] = json!(self.notices.len() + 1);
+        let line = notice.to_string();
+        self.say(&line);
+        self.notices.push(line);
+    }
+
+    fn pass(&mut self, now: f64) {
+        for (_, notice) in self.model.advance(now) {
+            match notice {
+                Notice::Exit(job, poor) => {
+                    let data = STANDARD.encode(if poor { "poor" } else { "full" });
+                    self.notice(
+                        json!({"type": "EXIT", "job": job, "state": "PASS", "took": 1.0, "data": data}),
+                    );
+                }
+                Notice::Callout(job) => {
+                    self.notice(json!({"type": "CALLOUT", "job": job, "data": STANDARD.encode("?")}));
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, now: f64, line: &str) {
+        let Ok(command) = serde_json::from_str::<Value>(line) else {
+            self.link = None;
+            return;
+        };
+        let job = command["job"].as_str().unwrap_or("").to_owned();
+        match command["type"].as_str().unwrap_or("") {
+            "JOIN" => {
+                let state = if self.cold { "EMPTY" } else { "LOADED" };
+                let took = if self.cold { 1.0 } else { 3_600_000.0 };
+                self.say(&json!({"type": "WELCOME", "state": state, "took": took}).to_string());
+                let after = command["n"].as_u64().unwrap_or(0) as usize;
+                let missed: Vec<String> = self.notices.iter().skip(after).cloned().collect();
+                missed.iter().for_each(|line| self.say(line));
+            }
+            "EXEC" => {
+                let body = STANDARD.decode(command["data"].as_str().unwrap_or("")).unwrap_or_default();
+                self.model.start(&job, Work::read(&body));
+            }
+            "RETURN" => drop(self.model.resume(&job, false)),
+            "BYPASS" => drop(self.model.resume(&job, true)),
+            "METER" => {
+                let (since, before) = self.busy;
+                let busy = (self.model.busy_s() - before) / (now - since).max(1e-3) / self.cores;
+                // The gauge is a mean of the last tenth of a second at least.
+                if now - since > 0.1 {
+                    self.busy = (now, self.model.busy_s());
+                }
+                let gauges = [busy.min(1.0), self.model.on_cores() as f64, 0.1, 3.0];
+                self.say(&json!({"type": "METERS", "ref": command["ref"], "gauges": gauges}).to_string());
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Reads one message's head and body; `None` when there is none.
+fn message(reader: &mut BufReader<TcpStream>) -> Option<(String, Vec<u8>)> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    let length = header(&head, "content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; std::cmp::min(length, 1 << 16)];
+    reader.read_exact(&mut body).ok()?;
+    Some((head, body))
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines()
+        .find_map(|l| l.split_once(':').filter(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim()))
+}
+
+fn serve_records(door: TcpListener, experiment: &Experiment, clock: Clock, over: &Arc<AtomicBool>) {
+    let model = Arc::new(Mutex::new(Records::new(experiment.records.clone(), experiment.stall.clone())));
+    accept_until(door, over.clone(), move |stream| {
+        let model = model.clone();
+        thread::spawn(move || {
+            let mut reader = BufReader::new(stream);
+            while let Some((head, _)) = message(&mut reader) {
+                let of = header(&head, "op-of").unwrap_or("").to_owned();
+                let at = {
+                    let mut model = lock(&model);
+                    model.advance(clock.now());
+                    model.call(clock.now(), &of)
+                };
+                clock.sleep_until(at);
+                let reply = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n!";
+                if reader.get_mut().write_all(reply).is_err() {
+                    return;
+                }
+            }
+        });
+    });
+}
+
+/// Starts the callers: each takes the next request when it is due, and sees it through all its tries.
+fn call(
+    experiment: &Experiment,
+    asked: &Arc<Vec<Asked>>,
+    clock: Clock,
+    to: SocketAddr,
+    ends: &Arc<Mutex<Vec<Option<End>>>>,
+) -> Vec<thread::JoinHandle<()>> {
+    let (sender, receiver): (Sender<usize>, Receiver<usize>) = channel();
+    let receiver = Arc::new(Mutex::new(receiver));
+    let mut threads = Vec::new();
+    for _ in 0..CALLERS.min(asked.len()) {
+        let (experiment, asked, ends) = (experiment.clone(), asked.clone(), ends.clone());
+        let receiver = receiver.clone();
+        let body = move || {
+            let mut connection = None;
+            loop {
+                let Ok(number) = lock(&receiver).recv() else { return };
+                let end = see_through(&experiment, &asked[number], clock, to, &mut connection);
+                lock(&ends)[number] = end;
+            }
+        };
+        let built = thread::Builder::new().stack_size(256 * 1024).spawn(body);
+        threads.extend(built.ok());
+    }
+    let asked = asked.clone();
+    threads.push(thread::spawn(move || {
+        for a in asked.iter() {
+            clock.sleep_until(a.at);
+            if sender.send(a.number).is_err() {
+                return;
+            }
+        }
+    }));
+    threads
+}
+
+/// One request with all its tries; `None` if one of them got no answer in time.
+fn see_through(
+    experiment: &Experiment,
+    a: &Asked,
+    clock: Clock,
+    to: SocketAddr,
+    connection: &mut Option<BufReader<TcpStream>>,
+) -> Option<End> {
+    let class = &experiment.class[a.class];
+    for tries in 1.. {
+        let (status, advice_s, poor) =
+            one_try(class.deadline_ms / 1000.0, a, tries, class, clock, to, connection)?;
+        let now = clock.now();
+        let end = match status {
+            200 => return Some(End::Served { at: now, poor }),
+            429 | 503 => End::Refused,
+            _ => End::Failed,
+        };
+        match again(experiment, tries, now, a, advice_s) {
+            Some(at) => clock.sleep_until(at),
+            None => return Some(end),
+        }
+    }
+    None
+}
+
+fn one_try(
+    deadline_s: f64,
+    a: &Asked,
+    tries: u32,
+    class: &crate::experiment::ClassModel,
+    clock: Clock,
+    to: SocketAddr,
+    connection: &mut Option<BufReader<TcpStream>>,
+) -> Option<(u16, f64, bool)> {
+    let left_s = (a.at + deadline_s - clock.now()).max(0.01);
+    let name = NAMES.fetch_add(1, Ordering::Relaxed) | (1 << 60);
+    let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis());
+    let key = if class.keyed { format!("X-Operation-Key: k{:08x}\r\n", a.number) } else { String::new() };
+    let again = if tries > 1 { "X-Resent: 1\r\n" } else { "" };
+    let body = a.work.body();
+    let head = format!(
+        "POST /do/{} HTTP/1.1\r\nHost: lab\r\nX-Correlation-Id: {name:016x}\r\nX-Arrived-Ms: {unix_ms}\r\n\
+         X-Upstream-Peer: 1\r\nX-Org: lab\r\nX-Deadline-Ms: {:.0}\r\nX-Need-Kb: {:.1}\r\nX-Criticality: 0.5\r\n\
+         {key}{again}Content-Length: {}\r\n\r\n",
+        class.name,
+        left_s * 1000.0,
+        a.need_kb,
+        body.len()
+    );
+    let bytes = [head.as_bytes(), &body].concat();
+    // A kept connection may have been closed meanwhile: then once more on a new one, as routers do.
+    for fresh in [false, true] {
+        if fresh || connection.is_none() {
+            let stream = TcpStream::connect(to).ok()?;
+            let _ = stream.set_nodelay(true);
+            *connection = Some(BufReader::new(stream));
+        }
+        let reader = connection.as_mut()?;
+        let patience = Duration::from_secs_f64(left_s + PATIENCE_S);
+        let _ = reader.get_ref().set_read_timeout(Some(patience));
+        if reader.get_mut().write_all(&bytes).is_err() {
+            continue;
+        }
+        match reader.fill_buf() {
+            Ok([]) => continue,
+            Err(e) if matches!(e.kind(), ErrorKind::ConnectionReset | ErrorKind::BrokenPipe) => continue,
+            _ => {}
+        }
+        let answer = message(reader);
+        let Some((head, body)) = answer else { break };
+        if header(&head, "connection").is_some_and(|v| v.eq_ignore_ascii_case("close")) {
+            *connection = None;
+        }
+        let status = head.split(' ').nth(1)?.parse().ok()?;
+        let advice_ms: f64 = header(&head, "x-pushback-ms").and_then(|v| v.parse().ok()).unwrap_or(0.0);
+        return Some((status, advice_ms / 1000.0, body == b"poor"));
+    }
+    *connection = None;
+    None
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -648,6 +648,11 @@
         let Some(leaving) = &self.leaving else { return };
         let crossed = leaving.closed.is_some_and(|at| now >= at + CROSSING_S);
         if crossed && answered || now >= leaving.stop - STOP_MARGIN_S {
+            if let Some(Ok(state)) =
+                self.core.as_ref().and_then(Core::pools).map(|s| serde_json::to_string(&s))
+            {
+                self.log.line(&format!("pools: state {state}"));
+            }
             self.log.line(if answered { "left with all answered" } else { "left with answers owed" });
             self.done = true;
         }
--- a/src/pools/estimate.rs
+++ b/src/pools/estimate.rs
@@ -4,8 +4,9 @@
 //! `stretch` times their usual length; so the cores did the work of `N / stretch` slots at full speed. That rate,
 //! smoothed, is the capacity; the limit is the capacity and a little more, so that a rise can show (TCP Vegas'
 //! alpha; Brakmo and Peterson 1995). The usual length of a class is measured only while no more runs than the
-//! least limit stand on the cores, or by runs that are shorter still. A windowed least over noisy lengths would
-//! drift down and take every crowd for a gain (docs/design/01-class-pools.md has the figures).
+//! least limit stand on the cores, or by runs that are shorter still; where that does not happen by itself for four
+//! windows, the limit rests under its least for a look (BBR's PROBE_RTT; Cardwell et al. 2016). A windowed least over
+//! noisy lengths would take every crowd for a gain (docs/design/01-class-pools.md has the figures).
 //!
 //! Runs that take longer than the crowd explains mean that the executor has slowed: the limit drops to its least
 //! at once, what was learnt of the capacity is kept, and the limit doubles its way back when runs are usual again.
@@ -13,16 +14,29 @@
 /// Slots above the measured capacity, as a part of it and at least, in which a rise can show.
 const HEADROOM: f64 = 0.2;
 const HEADROOM_LEAST: f64 = 1.25;
-/// The capacity follows a higher rate by this share a look, a lower one by a look's part of the window.
-const RISE: f64 = 0.3;
-/// A usual length follows shorter runs by this share a look, longer ones by a look's part of the window.
-const SHORTER: f64 = 0.3;
+/// The capacity follows the rate of a look by this share.
+const FOLLOW: f64 = 0.3;
+/// A usual length is the mean of so many ends in calm looks.
+const MEMORY_ENDS: f64 = 64.0;
+/// Shorter than this part of the usual length is no noise, whatever runs beside: the length follows by half.
+const SHORTER: f64 = 0.7;
+const SHORTER_FOLLOW: f64 = 0.5;
+/// A rest's look takes so many times the samples; the first rest comes after so many crowded looks.
+const REST_SAMPLES: f64 = 2.0;
+const FIRST_REST_LOOKS: f64 = 3.0;
+/// Further rests come after so many windows without a calm look: each costs up to two seconds of few runs.
+const REST_WINDOWS: f64 = 4.0;
 /// A look ends without enough samples after so many times its length.
 const LOOK_MOST: f64 = 4.0;
 /// The limit counts as met in a look when it was so for this share of it.
 const BOUND_SHARE: f64 = 0.5;
 /// A slowed executor is taken for the new usual after so many windows.
 const SLOW_WINDOWS: f64 = 2.0;
+/// A look is calm with so many runs more than the least limit on the cores, in the mean.
+const CALM_MORE: f64 = 0.5;
+/// A rest goes down to this part of the least limit at most, and lasts so many looks until its own look begins.
+const REST_PART: f64 = 0.5;
+const REST_LOOKS: f64 = 4.0;
 /// Ends of a class before its own usual length counts.
 const CLASS_LEAST: f64 = 4.0;
 
@@ -53,6 +67,8 @@
     Slow,
     /// Runs are usual again; the limit doubles its way back.
     Recovery,
+    /// A look with few runs, to learn how long they usually take.
+    Rest,
     /// New bounds.
     Reload,
 }
@@ -67,6 +83,7 @@
             Cause::Crowd => "crowd",
             Cause::Slow => "slow",
             Cause::Recovery => "recovery",
+            Cause::Rest => "rest",
             Cause::Reload => "reload",
         }
     }
@@ -77,6 +94,8 @@
 struct Usual {
     length: f64,
     ends: f64,
+    /// It stems from calm looks; else it may have a crowd in it, and the first calm look replaces it.
+    calm: bool,
 }
 
 /// Evidence of one look: seconds on the cores, by all that ran and by what ended; what the latter usually takes.
@@ -87,6 +106,8 @@
     lengths: f64,
     usual: f64,
     ended: f64,
+    /// Sum of the squares of what ended runs usually take.
+    squares: f64,
     bound: f64,
     by_class: Vec<(f64, f64)>,
 }
@@ -118,6 +139,18 @@
     slow_for: Option<f64>,
     /// The way back after a slow time.
     recovering: bool,
+    /// Seconds since a calm look, and the runs that came back from calls above the limit in the last look.
+    crowded_s: f64,
+    above: f64,
+    rest: Option<Rest>,
+}
+
+/// A rest: the limit to come back to, and how long it has waited for the cores to clear (seconds).
+#[derive(Clone, Copy, Debug)]
+struct Rest {
+    back_to: usize,
+    cause: Cause,
+    clearing_s: Option<f64>,
 }
 
 impl Estimate {
@@ -129,11 +162,14 @@
             limit: bounds.least,
             cause: Cause::Start,
             capacity: bounds.least as f64,
-            usual: lengths.iter().map(|l| Usual { length: l.max(1e-6), ends: 0.0 }).collect(),
+            usual: lengths.iter().map(|l| Usual { length: l.max(1e-6), ends: 0.0, calm: false }).collect(),
             look,
             last: Measured::default(),
             slow_for: None,
             recovering: false,
+            crowded_s: 0.0,
+            above: 0.0,
+            rest: None,
         }
     }
 
@@ -161,7 +197,8 @@
     /// New bounds: what was learnt stays.
     pub fn rebound(&mut self, bounds: Bounds, crowd: usize) {
         self.bounds = bounds;
-        self.set(self.limit, Cause::Reload, crowd);
+        let to = self.rest.take().map_or(self.limit, |r| r.back_to);
+        self.set(to, Cause::Reload, crowd);
     }
 
     /// Time passes with so many runs on the cores; `bound` says that more would run if the limit let them.
@@ -179,7 +216,9 @@
         *sums = (sums.0 + length, sums.1 + 1.0);
         // A class that is hardly known says nothing of the speed.
         let known = usual.ends >= CLASS_LEAST;
-        self.look.usual += if known { usual.length } else { length };
+        let weight = if known { usual.length } else { length };
+        self.look.usual += weight;
+        self.look.squares += weight * weight;
         self.look.lengths += length;
         self.look.ended += 1.0;
     }
@@ -192,7 +231,18 @@
             self.slow_down(crowd);
             return self.limit != before;
         }
-        let enough = self.look.ended >= b.samples;
+        if let Some(Rest { clearing_s: Some(waited), .. }) = &mut self.rest {
+            *waited += self.look.span;
+            if on_cores > b.least && *waited < REST_LOOKS * b.look_s {
+                // Runs of before are still on the cores: the look of the rest has not begun.
+                self.next_look(false);
+                return self.limit != before;
+            }
+            self.next_look(false);
+            self.rest = self.rest.map(|r| Rest { clearing_s: None, ..r });
+        }
+        let samples = b.samples * if self.rest.is_some() { REST_SAMPLES } else { 1.0 };
+        let enough = self.ends() >= samples;
         if self.look.span >= b.look_s && (enough || self.look.span >= b.look_s * LOOK_MOST) {
             self.close(enough, crowd);
         } else {
@@ -202,6 +252,16 @@
         self.limit != before
     }
 
+    /// How many ends of one length would tell as much as those of this look (Kish's effective sample size): among
+    /// many short runs the few long ones decide what the sum of lengths says.
+    fn ends(&self) -> f64 {
+        if self.look.squares > 0.0 {
+            self.look.usual.powi(2) / self.look.squares
+        } else {
+            0.0
+        }
+    }
+
     /// What ran in this look took far more than all that ended and all that runs would usually take: nothing ends.
     /// Guards against a tenfold slow-down, in which the first end would come seconds late.
     fn stuck(&self, on_cores: usize) -> bool {
@@ -230,13 +290,16 @@
 
     fn slow_down(&mut self, crowd: usize) {
         self.slow_for.get_or_insert(0.0);
-        self.next_look();
+        self.rest = None;
+        self.next_look(true);
         self.set(self.bounds.least, Cause::Slow, crowd);
+        self.cause = Cause::Slow;
     }
 
-    fn next_look(&mut self) {
+    /// Begins another look; what this one measured is told where it stands for the time.
+    fn next_look(&mut self, told: bool) {
         let l = &mut self.look;
-        if l.span > 0.0 {
+        if l.span > 0.0 && told {
             self.last = Measured {
                 rate_per_s: l.ended / l.span,
                 run_s: if l.ended > 0.0 { l.lengths / l.ended } else { 0.0 },
@@ -257,24 +320,33 @@
         let slow = enough && stretch > b.slow_ratio * self.expected(on_cores);
         let met = l.bound >= BOUND_SHARE * l.span;
         let part = (l.span / b.window_s).min(1.0);
-        self.learn_lengths(on_cores <= b.least as f64 + 0.5, part);
+        let calm = on_cores <= b.least as f64 + CALM_MORE;
+        self.crowded_s = if calm { 0.0 } else { self.crowded_s + l.span };
+        self.learn_lengths(calm, part);
+        if let Some(rest) = self.rest.take() {
+            self.crowded_s = 0.0;
+            self.next_look(false);
+            return self.set(rest.back_to, rest.cause, crowd);
+        }
+        if met {
+            self.above = (on_cores - self.limit as f64).max(0.0);
+        }
         if slow && self.slow_for.map_or(true, |s| s < SLOW_WINDOWS * b.window_s) {
             return self.slow_down(crowd);
         }
         if !enough {
             // Too few ends to go by: an idle worker, or a look that tells nothing. What was learnt stays.
-            self.next_look();
+            self.next_look(true);
             return self.set(self.limit, self.cause, crowd);
         }
         let back = self.slow_for.take().is_some();
         self.recovering |= back;
         let rate = on_cores / stretch.max(1.0);
-        if rate > self.capacity {
-            self.capacity += (rate - self.capacity) * RISE;
-        } else if met && !self.recovering {
-            self.capacity += (rate - self.capacity) * part;
+        // Where the limit is not met a low rate says only that little was asked for.
+        if rate > self.capacity || met && !self.recovering {
+            self.capacity += (rate - self.capacity) * FOLLOW;
         }
-        self.next_look();
+        self.next_look(true);
         let room = (self.capacity * HEADROOM).max(HEADROOM_LEAST);
         let target = ((self.capacity + room).floor() as usize).max(1);
         let doubled = self.limit * 2;
@@ -284,29 +356,40 @@
         } else {
             self.set(target, Cause::Rate, crowd);
         }
+        let unsure = self.usual.iter().any(|u| u.ends >= CLASS_LEAST && !u.calm);
+        let patience = if unsure { FIRST_REST_LOOKS * b.look_s } else { REST_WINDOWS * b.window_s };
+        if self.crowded_s >= patience && met {
+            let least = b.least as f64;
+            let low = (least - self.above.ceil()).max((least * REST_PART).ceil()).max(1.0) as usize;
+            self.rest = Some(Rest { back_to: self.limit, cause: self.cause, clearing_s: Some(0.0) });
+            (self.limit, self.cause) = (low, Cause::Rest);
+        }
     }
 
     /// Usual lengths are those without a crowd; longer ones under a crowd are the crowd's doing.
     fn learn_lengths(&mut self, calm: bool, part: f64) {
-        let samples = self.bounds.samples;
+        let (samples, slow) = (self.bounds.samples, self.slow_for.is_some());
         for (usual, &(sum, n)) in self.usual.iter_mut().zip(&self.look.by_class) {
             if n == 0.0 {
                 continue;
             }
             let mean = sum / n;
-            // A few ends weigh little; the first ones replace the guess.
-            let weight = (n / samples).min(1.0);
-            let share = if usual.ends < CLASS_LEAST {
+            let share = if calm && !usual.calm {
+                usual.ends = 0.0;
+                1.0
+            } else if usual.calm && mean < usual.length * SHORTER && n >= samples / 2.0 {
+                SHORTER_FOLLOW
+            } else if calm && slow {
+                // It may be over soon: what was usual before is forgotten over a window.
+                part
+            } else if calm || !usual.calm {
                 n / (usual.ends + n)
-            } else if mean < usual.length {
-                SHORTER * weight
-            } else if calm {
-                part * weight
             } else {
                 continue;
             };
             usual.length += (mean - usual.length) * share;
-            usual.ends = (usual.ends + n).min(samples);
+            usual.ends = (usual.ends + n).min(MEMORY_ENDS);
+            usual.calm |= calm;
         }
     }
 
@@ -316,17 +399,18 @@
         let most = b.most.min(crowd).max(b.least);
         let limit = to.clamp(b.least, most);
         let cause = match cause {
-            Cause::Rate | Cause::Recovery | Cause::Reload | Cause::Start if to > most => {
+            Cause::Rate | Cause::Recovery | Cause::Start if to > most => {
                 if crowd < b.most {
                     Cause::Crowd
                 } else {
                     Cause::Most
                 }
             }
-            Cause::Rate | Cause::Reload if to < b.least => Cause::Least,
+            Cause::Rate if to < b.least => Cause::Least,
             cause => cause,
         };
-        if limit != self.limit {
+        // A rest goes under the least limit, and only its own end ends it.
+        if limit != self.limit && self.rest.is_none() {
             (self.limit, self.cause) = (limit, cause);
         }
     }
--- a/src/pools/mod.rs
+++ b/src/pools/mod.rs
@@ -112,7 +112,9 @@
             .map(|p| kept(&p.name).map_or_else(Account::default, |i| self.accounts[i].clone()))
             .collect();
         self.plan = plan;
+        let before = self.limit();
         self.estimate.rebound(bounds(&self.plan), self.crowd);
+        self.report.limit_changed(before);
     }
 
     fn pool(&self, class: usize) -> usize {
@@ -169,9 +171,10 @@
         self.plan.pools[pool].guarantee * self.common() as f64
     }
 
-    /// The common slots that a pool takes at most; a pool can always have one.
+    /// The common slots that a pool takes at most: a part of a slot counts as one, so that no ceiling is under its
+    /// guarantee, and a pool can always have one.
     fn ceiling(&self, pool: usize) -> usize {
-        let most = (self.plan.pools[pool].ceiling * self.common() as f64 + EPSILON).floor() as usize;
+        let most = (self.plan.pools[pool].ceiling * self.common() as f64 - EPSILON).ceil() as usize;
         most.max(1)
     }
 
@@ -263,8 +266,8 @@
     pub fn open(&self, class: usize) -> bool {
         let pool = self.pool(class);
         let own = self.on_cores(pool) < self.reserve_of(pool);
-        // Others that wait would be asked first, but for what is this pool's own.
-        let nobody_waits = self.numbers().all(|p| self.held(p) == 0);
+        // Others that wait and may have more would be asked first, but for what is this pool's own.
+        let nobody_waits = self.numbers().all(|p| self.held(p) == 0 || self.used(p) >= self.ceiling(p));
         let mine = (self.used(pool) as f64) + 1.0 <= self.guarantee(pool) + EPSILON;
         let common = self.free() > 0 && self.used(pool) < self.ceiling(pool) && (nobody_waits || mine);
         self.held(pool) == 0 && (own || common)
--- a/src/pools/report.rs
+++ b/src/pools/report.rs
@@ -1,6 +1,6 @@
 //! What operators see of the pools: lines for the log, and the state as one value for a status command.
 
-use super::estimate::Estimate;
+use super::estimate::{Cause, Estimate};
 use super::Pools;
 use crate::interface::PoolPlan;
 use serde::Serialize;
@@ -59,7 +59,8 @@
 
     pub fn write(&mut self, now: f64, estimate: &Estimate, plan: &PoolPlan, queues: &[(usize, u64)]) {
         let due = |at: f64| now - at >= LINE_EVERY_S;
-        if self.limit_said.map_or(true, due) {
+        // A rest is over within a look or two: it is no change of what the executor is held to be worth.
+        if self.limit_said.map_or(true, due) && estimate.cause() != Cause::Rest {
             if let Some(was) = self.was.take().filter(|was| *was != estimate.limit()) {
                 let m = estimate.measured();
                 self.limit_said = Some(now);
