--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -167,6 +167,17 @@
         }
     }
 
+    /// A line of the log so far, without a wait.
+    pub fn find_log(&mut self, part: &str) -> Option<String> {
+        while let Ok(line) = self.lines.try_recv() {
+            self.log.push(line.clone());
+            if line.contains(part) {
+                return Some(line);
+            }
+        }
+        None
+    }
+
     /// Links up as an executor that is warm.
     pub fn link(&self) -> Executor {
         let mut executor = Executor::accept(&self.executor);
@@ -199,6 +210,12 @@
         assert!(Command::new("sh").arg("-c").arg(format!("kill -{name} {id}")).status().unwrap().success());
     }
 
+    /// Puts another text in the place of the operator's file and says so to the worker.
+    pub fn reload_operator(&self, text: &str) {
+        std::fs::write(self.folder.join("operator.toml"), text).unwrap();
+        self.signal("HUP");
+    }
+
     /// Puts another text in the place of the configuration and says so to the worker.
     pub fn reload_text(&self, text: &str) {
         std::fs::write(self.folder.join("config.json"), text).unwrap();
@@ -299,6 +316,21 @@
         }
     }
 
+    /// The commands up to the next question for the gauges, which comes at every wake-up.
+    pub fn commands(&mut self) -> Vec<Value> {
+        let mut commands = Vec::new();
+        loop {
+            let mut line = String::new();
+            assert!(self.reader.read_line(&mut line).expect("a command") > 0, "the link was closed");
+            let command: Value = serde_json::from_str(&line).unwrap();
+            if command["type"] == "METER" {
+                self.say(json!({"type": "METERS", "ref": command["ref"], "gauges": [0.5, 1, 0.1, 3]}));
+                return commands;
+            }
+            commands.push(command);
+        }
+    }
+
     pub fn next(&mut self, kind: &str) -> Value {
         let command = self.command();
         assert_eq!(command["type"], kind, "{command}");
@@ -421,6 +453,17 @@
         self.answer()
     }
 
+    /// Takes an answer if one is there, without a wait.
+    pub fn has_answer(&mut self) -> bool {
+        self.reader.get_ref().set_nonblocking(true).unwrap();
+        let there = matches!(self.reader.fill_buf(), Ok(bytes) if !bytes.is_empty());
+        self.reader.get_ref().set_nonblocking(false).unwrap();
+        if there {
+            self.answer();
+        }
+        there
+    }
+
     /// Whether the peer has closed, without another byte.
     pub fn closed(&mut self) -> bool {
         matches!(self.reader.read(&mut [0; 16]), Ok(0) | Err(_))
