Weigh five published ways to set the run limit against the worker's own

Need: the limit of class pools must be argued with figures, and it must not be fooled by noise, slow times and idle ones. Change: honeypost-lab limits plays closed loops with BBR's product, Vegas, Gradient2 and Envoy's gradient beside it. They showed that our own stuck at 8 of 30 slots: one class's few short runs sank the usual length for good, and a rest measured the long runs that were left of a crowd. Runs must now settle first, nothing is learnt in a slow time, and only a smoothed stretch under 0.82 shortens usual lengths. Virtual-time tests of each hard case and a short loopback play are in lab/tests.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use honeypost_lab::experiment::Experiment;
-use honeypost_lab::{measure, sockets, virtual_time};
+use honeypost_lab::{limits, measure, sockets, virtual_time};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -28,6 +28,11 @@
         #[arg(long, value_delimiter = ',')]
         seeds: Vec<u64>,
     },
+    /// Compares ways to set the run limit in closed loops, as a table.
+    Limits {
+        #[arg(long, default_value_t = 10)]
+        seeds: u64,
+    },
     /// Plays it in virtual time, round the worker's own core.
     Sim {
         file: PathBuf,
@@ -54,6 +59,10 @@
     let (file, worker, json, seeds) = match Arguments::parse().what {
         What::Run { file, worker, json, seeds } => (file, Some(worker), json, seeds),
         What::Sim { file, json, seeds } => (file, None, json, seeds),
+        What::Limits { seeds } => {
+            println!("{}", limits::compare(seeds));
+            return Ok(true);
+        }
     };
     let mut experiment = Experiment::read(&file)?;
     if !seeds.is_empty() {
--- /dev/null
+++ b/lab/tests/pools.rs
@@ -0,0 +1,159 @@
+//! Class pools in virtual time round the worker's own core, and a short form of the experiment on loopback.
+
+use honeypost_lab::experiment::{Experiment, Jump, Slow};
+use honeypost_lab::measure::{table, values, verdict, Play};
+use honeypost_lab::{limits, sockets, virtual_time};
+use std::path::PathBuf;
+
+fn experiment() -> Experiment {
+    Experiment::decode(include_str!("../experiments/pools-110.toml")).unwrap()
+}
+
+fn play(experiment: &Experiment, variant: &str, seed: u64) -> Play {
+    let variant = experiment.variant.iter().find(|v| v.name == variant).unwrap();
+    virtual_time::play(experiment, variant, seed).unwrap()
+}
+
+#[test]
+fn the_experiments_bounds_hold_in_virtual_time() {
+    let experiment = experiment();
+    let plays: Vec<Play> =
+        (1..=5).flat_map(|seed| ["plain", "pools"].map(|variant| play(&experiment, variant, seed))).collect();
+    let (text, good) = verdict(&experiment, &plays);
+    assert!(good, "{text}\n{}", table(&experiment, &plays));
+    // The bounds can fail: without pools the cheapest calls starve.
+    let mut turned = experiment.clone();
+    turned.expect.iter_mut().filter(|x| x.against.is_none()).for_each(|x| x.variant = "plain".to_owned());
+    assert!(!verdict(&turned, &plays).1);
+}
+
+#[test]
+fn the_same_seed_plays_the_same() {
+    let experiment = experiment();
+    let text = |seed| serde_json::to_string(&play(&experiment, "pools", seed)).unwrap();
+    assert_eq!(text(3), text(3));
+    assert_ne!(text(3), text(4));
+}
+
+#[test]
+fn a_jump_in_one_step_from_seven_tenths_and_back_leaves_the_reserve_whole() {
+    let mut e = experiment();
+    (e.load, e.slow) = (0.7, Vec::new());
+    e.jump = vec![Jump { at_s: 8.0, for_s: 8.0, times: 1.6 }];
+    for seed in 1..=4 {
+        let p = play(&e, "pools", seed);
+        assert_eq!((p.reserve_kept, p.owed), (0, 0));
+        assert!(p.metric("in_aim", Some("status-check")) >= 0.99, "{p:?}");
+        assert!(p.metric("in_aim", Some("port-submit")) >= 0.95, "{p:?}");
+    }
+}
+
+#[test]
+fn a_flood_of_one_class_at_three_times_the_capacity_leaves_the_others_theirs() {
+    let mut e = experiment();
+    (e.load, e.slow, e.jump) = (0.7, Vec::new(), Vec::new());
+    // Eligibility alone asks for three times what the cores can do.
+    e.class[1].jump = vec![Jump { at_s: 5.0, for_s: 15.0, times: 6.0 }];
+    let (mut plain, mut pools) = (0.0, 0.0);
+    for seed in 1..=4 {
+        let p = play(&e, "pools", seed);
+        assert!(p.metric("in_aim", Some("status-check")) >= 0.99, "{p:?}");
+        assert!(p.metric("in_aim", Some("port-submit")) >= 0.95, "{p:?}");
+        pools += p.metric("in_aim", Some("status-check"));
+        plain += play(&e, "plain", seed).metric("in_aim", Some("status-check"));
+    }
+    assert!(plain < 0.75 * pools, "{plain} against {pools}");
+}
+
+#[test]
+fn an_executor_that_slows_ten_times_never_comes_near_the_crowd_rule() {
+    let mut e = experiment();
+    e.jump = Vec::new();
+    e.slow = vec![Slow { at_s: 8.0, for_s: 10.0, times: 10.0 }];
+    for seed in 1..=4 {
+        let p = play(&e, "pools", seed);
+        assert!(p.crowd_of_bound < 0.5 && p.owed == 0, "{p:?}");
+        assert!(p.limits.iter().any(|l| l.2 == "slow" && l.0 > 8.0 && l.0 < 10.5), "{:?}", p.limits);
+        // Ends come again from 18 s on; the limit is on its way up within three seconds.
+        let back = p.limits.iter().any(|l| l.1 > 6 && l.0 > 18.0 && l.0 <= 21.0);
+        assert!(back || p.limits.last().is_some_and(|l| l.1 > 6 && l.0 <= 18.0), "{:?}", p.limits);
+    }
+}
+
+#[test]
+fn a_reserve_class_that_was_silent_for_a_minute_is_served_when_it_bursts() {
+    let mut e = experiment();
+    (e.length_s, e.slow, e.jump) = (70.0, Vec::new(), Vec::new());
+    e.class[0].jump =
+        vec![Jump { at_s: 0.0, for_s: 60.0, times: 0.0 }, Jump { at_s: 60.0, for_s: 10.0, times: 3.0 }];
+    let p = play(&e, "pools", 1);
+    assert!(p.classes[0].asked > 300, "{p:?}");
+    assert_eq!(p.reserve_kept, 0);
+    assert!(p.metric("in_aim", Some("status-check")) >= 0.99, "{p:?}");
+}
+
+#[test]
+fn a_records_service_that_stalls_leaves_no_pool_without_room() {
+    let mut e = experiment();
+    (e.load, e.slow, e.jump) = (0.9, Vec::new(), Vec::new());
+    e.stall = vec![Slow { at_s: 8.0, for_s: 6.0, times: 1.0 }];
+    for seed in 1..=3 {
+        let p = play(&e, "pools", seed);
+        assert_eq!((p.owed, p.reserve_kept), (0, 0), "{p:?}");
+        assert!(p.crowd_of_bound <= 0.8, "{p:?}");
+    }
+}
+
+#[test]
+fn the_worker_s_limit_beats_a_product_of_extremes_on_a_slowed_executor() {
+    let table = limits::compare(2);
+    let throughput = |way: &str| -> f64 {
+        let row =
+            table.lines().find(|l| l.contains("10 x slower") && l.contains(&format!("| {way} |"))).unwrap();
+        row.split('|').nth(3).unwrap().split("+-").next().unwrap().trim().parse().unwrap()
+    };
+    assert!(throughput("pools") > 0.9, "{table}");
+    assert!(
+        throughput("bbr") < throughput("pools") && throughput("gradient2") < throughput("pools"),
+        "{table}"
+    );
+}
+
+#[test]
+fn a_file_that_is_wrong_names_line_key_and_what_was_expected() {
+    let good = include_str!("../experiments/pools-110.toml");
+    for (from, to, named) in [
+        ("length_s = 25.0", "length_s = 0.0", "length_s is 0; expected above 0"),
+        ("length_s = 25.0", "lenght_s = 25.0", "line 5: unknown field `lenght_s`"),
+        ("metric = \"worth\"", "metric = \"wealth\"", "there is no metric \"wealth\"; expected one of"),
+        ("against = \"plain\"", "against = \"plane\"", "there is no variant \"plane\""),
+        ("class = \"port-submit\"", "class = \"port\"", "there is no class \"port\""),
+    ] {
+        let error = Experiment::decode(&good.replacen(from, to, 1)).expect_err(named);
+        assert!(error.contains(named) && !error.contains('\n'), "{error}");
+    }
+}
+
+/// The worker that the workspace's tests have built.
+fn worker() -> PathBuf {
+    let own = std::env::current_exe().unwrap();
+    let path = own.parent().and_then(|p| p.parent()).unwrap().join("honeypost");
+    assert!(path.exists(), "{} is not built: run cargo test --workspace", path.display());
+    path
+}
+
+#[test]
+fn a_short_play_on_loopback_answers_all_and_keeps_nothing_from_the_reserve() {
+    let mut e = experiment();
+    e.length_s = 4.0;
+    e.jump = vec![Jump { at_s: 1.0, for_s: 2.0, times: 1.6 }];
+    e.slow = Vec::new();
+    let variant = e.variant.iter().find(|v| v.name == "pools").unwrap().clone();
+    let p = sockets::play(&e, &variant, 1, &worker()).unwrap();
+    // What a slow machine can't change: every request got its answer, and the reserve was never kept from its pool.
+    assert_eq!((p.owed, p.reserve_kept), (0, 0), "{p:?}");
+    assert!(p.classes.iter().all(|c| c.asked == c.in_aim + c.late + c.refused + c.failed));
+    assert!(p.classes[0].in_aim > 0 && p.cpu_ms > 0.0, "{p:?}");
+    let owed = e.expect.iter().find(|x| x.metric == "owed").unwrap();
+    assert_eq!(values(&[p], owed), vec![0.0]);
+}
--- a/src/pools/estimate.rs
+++ b/src/pools/estimate.rs
@@ -14,13 +14,17 @@
 /// Slots above the measured capacity, as a part of it and at least, in which a rise can show.
 const HEADROOM: f64 = 0.2;
 const HEADROOM_LEAST: f64 = 1.25;
+/// Runs shorter than usual count down to this: cut off at 1, the noise of a look would always be a loss, and the limit
+/// would stick a slot or two above its least.
+const STRETCH_LEAST: f64 = 0.75;
 /// The capacity follows the rate of a look by this share.
 const FOLLOW: f64 = 0.3;
 /// A usual length is the mean of so many ends in calm looks.
 const MEMORY_ENDS: f64 = 64.0;
-/// Shorter than this part of the usual length is no noise, whatever runs beside: the length follows by half.
-const SHORTER: f64 = 0.7;
-const SHORTER_FOLLOW: f64 = 0.5;
+/// A stretch smoothed by this share a look that comes under this part of 1 proves the usual lengths too long, whatever
+/// runs beside. One look is noise (a sixth of the mean for sixteen ends), and would make them sink for good.
+const SHORTER_FOLLOW: f64 = 0.4;
+const SHORTER: f64 = 0.82;
 /// A rest's look takes so many times the samples; the first rest comes after so many crowded looks.
 const REST_SAMPLES: f64 = 2.0;
 const FIRST_REST_LOOKS: f64 = 3.0;
@@ -37,6 +41,7 @@
 /// A rest goes down to this part of the least limit at most, and lasts so many looks until its own look begins.
 const REST_PART: f64 = 0.5;
 const REST_LOOKS: f64 = 4.0;
+const SETTLE_RUNS: f64 = 2.0;
 /// Ends of a class before its own usual length counts.
 const CLASS_LEAST: f64 = 4.0;
 
@@ -139,18 +144,34 @@
     slow_for: Option<f64>,
     /// The way back after a slow time.
     recovering: bool,
-    /// Seconds since a calm look, and the runs that came back from calls above the limit in the last look.
+    /// Seconds since a calm look; ends that calm looks have had; the runs that came back from calls above the limit
+    /// in the last look.
     crowded_s: f64,
+    calm_ends: f64,
     above: f64,
     rest: Option<Rest>,
+    /// Smoothed stretch of the looks.
+    smooth: f64,
+    /// The crowd that is survived, as last told: it changes while the executor warms up.
+    crowd: usize,
 }
 
-/// A rest: the limit to come back to, and how long it has waited for the cores to clear (seconds).
+/// A rest: the limit to come back to, its cause, how far the rest is and for how long it has been so (seconds).
 #[derive(Clone, Copy, Debug)]
 struct Rest {
     back_to: usize,
     cause: Cause,
-    clearing_s: Option<f64>,
+    step: Step,
+    for_s: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// Runs of before leave the cores. The last of them are the longest: their ends would tell too much.
+    Clearing,
+    /// Those few end too, and others begin at different times.
+    Settling,
+    Looking,
 }
 
 impl Estimate {
@@ -168,8 +189,11 @@
             slow_for: None,
             recovering: false,
             crowded_s: 0.0,
+            calm_ends: 0.0,
             above: 0.0,
             rest: None,
+            smooth: 1.0,
+            crowd: 0,
         }
     }
 
@@ -227,19 +251,17 @@
     pub fn look(&mut self, on_cores: usize, crowd: usize) -> bool {
         let before = self.limit;
         let b = self.bounds;
+        if crowd != self.crowd {
+            // It warms up, so that usual lengths change under us: they are measured again and again.
+            (self.crowd, self.calm_ends) = (crowd, 0.0);
+        }
         if self.look.span >= b.look_s / 2.0 && self.stuck(on_cores) {
             self.slow_down(crowd);
             return self.limit != before;
         }
-        if let Some(Rest { clearing_s: Some(waited), .. }) = &mut self.rest {
-            *waited += self.look.span;
-            if on_cores > b.least && *waited < REST_LOOKS * b.look_s {
-                // Runs of before are still on the cores: the look of the rest has not begun.
-                self.next_look(false);
-                return self.limit != before;
-            }
-            self.next_look(false);
-            self.rest = self.rest.map(|r| Rest { clearing_s: None, ..r });
+        if self.rest.is_some_and(|r| r.step != Step::Looking) {
+            self.wait_for_rest(on_cores);
+            return self.limit != before;
         }
         let samples = b.samples * if self.rest.is_some() { REST_SAMPLES } else { 1.0 };
         let enough = self.ends() >= samples;
@@ -262,6 +284,24 @@
         }
     }
 
+    /// A rest's look begins when those that run are like any others: not the long ones that were left of a crowd, and
+    /// not all begun at once, of which only the short ones would have ended.
+    fn wait_for_rest(&mut self, on_cores: usize) {
+        let (span, settle_s) = (self.look.span, SETTLE_RUNS * self.mean_usual());
+        self.next_look(false);
+        let Some(rest) = &mut self.rest else { return };
+        rest.for_s += span;
+        let over = rest.for_s >= REST_LOOKS * self.bounds.look_s;
+        let next = match rest.step {
+            Step::Clearing if on_cores <= self.bounds.least || over => Step::Settling,
+            Step::Settling if rest.for_s >= settle_s || over => Step::Looking,
+            step => step,
+        };
+        if next != rest.step {
+            (rest.step, rest.for_s) = (next, 0.0);
+        }
+    }
+
     /// What ran in this look took far more than all that ended and all that runs would usually take: nothing ends.
     /// Guards against a tenfold slow-down, in which the first end would come seconds late.
     fn stuck(&self, on_cores: usize) -> bool {
@@ -319,10 +359,30 @@
         let stretch = if l.usual > 0.0 { l.lengths / l.usual } else { 1.0 };
         let slow = enough && stretch > b.slow_ratio * self.expected(on_cores);
         let met = l.bound >= BOUND_SHARE * l.span;
-        let part = (l.span / b.window_s).min(1.0);
-        let calm = on_cores <= b.least as f64 + CALM_MORE;
+        // Of runs that all began at the start, only the short ones have ended in the first look.
+        let first =
+            self.cause == Cause::Start && self.calm_ends == 0.0 && !self.usual.iter().any(|u| u.ends > 0.0);
+        let calm = !first && on_cores <= b.least as f64 + CALM_MORE;
+        if calm {
+            self.calm_ends = (self.calm_ends + self.ends()).min(MEMORY_ENDS);
+        }
         self.crowded_s = if calm { 0.0 } else { self.crowded_s + l.span };
-        self.learn_lengths(calm, part);
+        let patient = self.slow_for.map_or(true, |s| s < SLOW_WINDOWS * b.window_s);
+        if !patient {
+            // Slow for so long is the new usual.
+            self.usual.iter_mut().for_each(|u| u.calm = false);
+        }
+        // A slow time may be over soon: nothing is learnt from it.
+        if self.slow_for.is_none() && !slow || !patient {
+            self.learn_lengths(calm);
+        }
+        if enough {
+            self.smooth += (stretch - self.smooth) * SHORTER_FOLLOW;
+            if self.smooth < SHORTER {
+                self.usual.iter_mut().for_each(|u| u.length *= self.smooth);
+                self.smooth = 1.0;
+            }
+        }
         if let Some(rest) = self.rest.take() {
             self.crowded_s = 0.0;
             self.next_look(false);
@@ -331,7 +391,7 @@
         if met {
             self.above = (on_cores - self.limit as f64).max(0.0);
         }
-        if slow && self.slow_for.map_or(true, |s| s < SLOW_WINDOWS * b.window_s) {
+        if slow && patient {
             return self.slow_down(crowd);
         }
         if !enough {
@@ -341,7 +401,7 @@
         }
         let back = self.slow_for.take().is_some();
         self.recovering |= back;
-        let rate = on_cores / stretch.max(1.0);
+        let rate = on_cores / stretch.max(STRETCH_LEAST);
         // Where the limit is not met a low rate says only that little was asked for.
         if rate > self.capacity || met && !self.recovering {
             self.capacity += (rate - self.capacity) * FOLLOW;
@@ -356,19 +416,21 @@
         } else {
             self.set(target, Cause::Rate, crowd);
         }
-        let unsure = self.usual.iter().any(|u| u.ends >= CLASS_LEAST && !u.calm);
+        // Few calm ends make a usual length that misses by as much as the headroom: more of them are had early.
+        let unsure =
+            self.calm_ends < MEMORY_ENDS || self.usual.iter().any(|u| u.ends >= b.samples && !u.calm);
         let patience = if unsure { FIRST_REST_LOOKS * b.look_s } else { REST_WINDOWS * b.window_s };
         if self.crowded_s >= patience && met {
             let least = b.least as f64;
             let low = (least - self.above.ceil()).max((least * REST_PART).ceil()).max(1.0) as usize;
-            self.rest = Some(Rest { back_to: self.limit, cause: self.cause, clearing_s: Some(0.0) });
+            self.rest =
+                Some(Rest { back_to: self.limit, cause: self.cause, step: Step::Clearing, for_s: 0.0 });
             (self.limit, self.cause) = (low, Cause::Rest);
         }
     }
 
     /// Usual lengths are those without a crowd; longer ones under a crowd are the crowd's doing.
-    fn learn_lengths(&mut self, calm: bool, part: f64) {
-        let (samples, slow) = (self.bounds.samples, self.slow_for.is_some());
+    fn learn_lengths(&mut self, calm: bool) {
         for (usual, &(sum, n)) in self.usual.iter_mut().zip(&self.look.by_class) {
             if n == 0.0 {
                 continue;
@@ -377,11 +439,6 @@
             let share = if calm && !usual.calm {
                 usual.ends = 0.0;
                 1.0
-            } else if usual.calm && mean < usual.length * SHORTER && n >= samples / 2.0 {
-                SHORTER_FOLLOW
-            } else if calm && slow {
-                // It may be over soon: what was usual before is forgotten over a window.
-                part
             } else if calm || !usual.calm {
                 n / (usual.ends + n)
             } else {
--- a/src/pools/mod.rs
+++ b/src/pools/mod.rs
@@ -295,19 +295,20 @@
         self.guarantee(pool) + left * share
     }
 
-    /// How many more runs pool `p` may have on the cores and at calls: others' parts of the crowd are kept for them.
-    /// Guards against one pool whose runs all stand at calls, which hold no slot but come back.
+    /// How many more runs a pool may have on the cores and at calls of its own part of the crowd.
+    fn crowd_left(&self, pool: usize) -> usize {
+        let reserved = self.plan.reserve.map_or(0, |(_, n)| n).min(self.crowd.saturating_sub(1));
+        let rest = self.crowd.saturating_sub(reserved) as f64;
+        let part = (self.plan.pools[pool].guarantee * rest + EPSILON).floor() as usize;
+        (part + self.reserve_of(pool).min(reserved)).saturating_sub(self.crowd_of(pool))
+    }
+
+    /// Whether the crowd has room for another run of a pool: others' parts are kept for them. Guards against one
+    /// pool whose runs all stand at calls, which hold no slot but come back.
     fn crowd_has_room(&self, pool: usize) -> bool {
         let all: usize = self.numbers().map(|p| self.crowd_of(p)).sum();
-        let reserved = self.plan.reserve.map_or(0, |(_, n)| n).min(self.crowd.saturating_sub(1));
-        let rest = (self.crowd - reserved.min(self.crowd)) as f64;
-        let kept = |p: usize| {
-            let own = (self.plan.pools[p].guarantee * rest + EPSILON).floor() as usize
-                + self.reserve_of(p).min(reserved);
-            own.saturating_sub(self.crowd_of(p))
-        };
-        let others: usize = self.numbers().filter(|p| *p != pool).map(kept).sum();
-        all < self.crowd && (kept(pool) > 0 || all + others < self.crowd)
+        let others: usize = self.numbers().filter(|p| *p != pool).map(|p| self.crowd_left(p)).sum();
+        all < self.crowd && (self.crowd_left(pool) > 0 || all + others < self.crowd)
     }
 
     /// The request that may start next, of those that could: `held` gives them with their classes, highest tier and
@@ -331,7 +332,9 @@
         }
         self.bound = self.free() == 0 && firsts.iter().any(Option::is_some);
         let may = self.permitted();
-        let kept = |p: &usize| self.accounts[*p].wants && self.on_cores(*p) < self.reserve_of(*p) && !may[*p];
+        // A pool whose own runs at calls fill its part of the crowd waits for nobody else.
+        let own = |p: usize| self.on_cores(p) < self.reserve_of(p) && self.crowd_left(p) > 0;
+        let kept = |p: &usize| self.accounts[*p].wants && own(*p) && !may[*p];
         self.reserve_kept += self.numbers().filter(kept).count() as u64;
         let best = self.numbers().filter(|p| may[*p]).filter_map(|p| firsts[p]);
         best.min_by_key(|(order, _)| *order).map(|(_, request)| request)
