Keep waits in a pool short, and its counts as sums

Change: a wait in a pool takes two fifths of the aim's room at most; counts by pool are kept, not summed up each time; where no slot is free nothing is looked for.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -69,8 +69,13 @@
         experiment.seeds = seeds;
     }
     let mut plays = Vec::new();
-    for &seed in &experiment.seeds {
-        for variant in &experiment.variant {
+    for (turn, &seed) in experiment.seeds.iter().enumerate() {
+        let mut variants: Vec<_> = experiment.variant.iter().collect();
+        // Whoever goes second finds another machine: orders take turns.
+        if turn % 2 == 1 {
+            variants.reverse();
+        }
+        for variant in variants {
             plays.push(match &worker {
                 Some(worker) => sockets::play(&experiment, variant, seed, worker)?,
                 None => virtual_time::play(&experiment, variant, seed)?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,6 +29,8 @@
 const HINT_SPAN: f64 = 5.0;
 /// k as a share of the tier's j; the total held, for j, leaves out tiers worth under this share of it.
 const K_OF_J: f64 = 0.6;
+/// A full pool's queue never empties: waits in it stay under this share of what the aim leaves, or runs end late.
+const POOL_WAIT: f64 = 0.4;
 const TOTAL_WORTH: f64 = 0.4;
 /// Shares of the survivable crowd and of the memory that are used at most.
 const CROWD_SHARE: f64 = 0.8;
@@ -636,9 +638,10 @@
         let needs = calls && self.class(r.class).skipped_worth <= 0.0;
         let no_call = needs && wait + self.call_bound.length() > within;
         let rate = self.capacity(r.class);
-        // Of pools each has its own queue, and tiers above are mostly other pools'.
-        let above_s: f64 = if self.pools.is_some() { 0.0 } else { self.inflow[..r.tier].iter().sum() };
-        let left = (1.0 - above_s / rate).max(0.1);
+        let left = match &self.pools {
+            Some(_) => POOL_WAIT,
+            None => (1.0 - self.inflow[..r.tier].iter().sum::<f64>() / rate).max(0.1),
+        };
         // A greedy account's excess may wait for as little as it is worth.
         let part = if r.greedy { self.set.over_quota_worth } else { 1.0 };
         let j = (spare * rate * left * part).max(1.0);
--- a/src/pools/mod.rs
+++ b/src/pools/mod.rs
@@ -38,10 +38,12 @@
 const FORGET_S: f64 = 5.0;
 /// No pool counts on less than this part of a slot: it must not look as if it would wait for ever.
 const SLOTS_LEAST: f64 = 0.05;
+/// What is owed and comes under this is nothing (slot seconds).
+const FORGOTTEN: f64 = 1e-6;
 /// Rounding of slot counts.
 const EPSILON: f64 = 1e-9;
 
-/// Counts of one class.
+/// Counts of a class, of a pool, or of all.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Count {
     held: usize,
@@ -49,6 +51,25 @@
     at_call: usize,
 }
 
+impl Count {
+    fn at(&mut self, place: Place) -> &mut usize {
+        match place {
+            Place::Held => &mut self.held,
+            Place::OnCores => &mut self.on_cores,
+            Place::AtCall => &mut self.at_call,
+        }
+    }
+
+    fn moved(&mut self, from: Option<Place>, to: Option<Place>) {
+        if let Some(n) = from.map(|place| self.at(place)) {
+            *n = n.saturating_sub(1);
+        }
+        if let Some(n) = to.map(|place| self.at(place)) {
+            *n += 1;
+        }
+    }
+}
+
 /// What one pool is owed, and what it was seen to want.
 #[derive(Clone, Debug, Default)]
 struct Account {
@@ -64,7 +85,10 @@
 #[derive(Clone, Debug)]
 pub struct Pools {
     plan: PoolPlan,
+    /// By class, which a new plan leaves as they are; by pool, and in all, which are sums of those.
     classes: Vec<Count>,
+    counts: Vec<Count>,
+    all: Count,
     accounts: Vec<Account>,
     estimate: Estimate,
     /// The crowd of runs that the executor survives for certain, as last told.
@@ -92,6 +116,8 @@
     pub fn new(plan: PoolPlan, lengths: &[f64], crowd: usize) -> Pools {
         Pools {
             classes: vec![Count::default(); lengths.len()],
+            counts: vec![Count::default(); plan.pools.len()],
+            all: Count::default(),
             accounts: vec![Account::default(); plan.pools.len()],
             estimate: Estimate::new(bounds(&plan), lengths),
             plan,
@@ -112,6 +138,14 @@
             .map(|p| kept(&p.name).map_or_else(Account::default, |i| self.accounts[i].clone()))
             .collect();
         self.plan = plan;
+        self.counts = vec![Count::default(); self.plan.pools.len()];
+        for class in 0..self.classes.len() {
+            let (pool, count) = (self.pool(class), self.classes[class]);
+            let sum = &mut self.counts[pool];
+            sum.held += count.held;
+            sum.on_cores += count.on_cores;
+            sum.at_call += count.at_call;
+        }
         let before = self.limit();
         self.estimate.rebound(bounds(&self.plan), self.crowd);
         self.report.limit_changed(before);
@@ -126,26 +160,17 @@
         self.pool(a) == self.pool(b)
     }
 
-    fn sum(&self, pool: usize, of: impl Fn(&Count) -> usize) -> usize {
-        let own = self.classes.iter().enumerate().filter(|(class, _)| self.pool(*class) == pool);
-        own.map(|(_, count)| of(count)).sum()
-    }
-
     fn held(&self, pool: usize) -> usize {
-        self.sum(pool, |c| c.held)
+        self.counts[pool].held
     }
 
     fn on_cores(&self, pool: usize) -> usize {
-        self.sum(pool, |c| c.on_cores)
+        self.counts[pool].on_cores
     }
 
     /// Runs of a pool on the cores or on their way back to them.
     fn crowd_of(&self, pool: usize) -> usize {
-        self.sum(pool, |c| c.on_cores + c.at_call)
-    }
-
-    fn all_on_cores(&self) -> usize {
-        self.classes.iter().map(|c| c.on_cores).sum()
+        self.counts[pool].on_cores + self.counts[pool].at_call
     }
 
     /// The limit on runs on the cores, reserve and all (slots).
@@ -188,18 +213,14 @@
 
     /// A request of this class has gone from one place to another; `None` is none that counts.
     pub fn moved(&mut self, class: usize, from: Option<Place>, to: Option<Place>) {
-        let Some(count) = self.classes.get_mut(class) else { return };
-        for (place, enters) in [(from, false), (to, true)] {
-            let n = match place {
-                Some(Place::Held) => &mut count.held,
-                Some(Place::OnCores) => &mut count.on_cores,
-                Some(Place::AtCall) => &mut count.at_call,
-                None => continue,
-            };
-            *n = if enters { *n + 1 } else { n.saturating_sub(1) };
-        }
+        let pool = self.pool(class);
+        let (Some(count), Some(sum)) = (self.classes.get_mut(class), self.counts.get_mut(pool)) else {
+            return;
+        };
+        count.moved(from, to);
+        sum.moved(from, to);
+        self.all.moved(from, to);
         if (from, to) == (Some(Place::Held), Some(Place::OnCores)) {
-            let pool = self.pool(class);
             self.accounts[pool].started += 1;
         }
     }
@@ -214,29 +235,40 @@
         if dt <= 0.0 {
             return;
         }
-        self.estimate.advance(dt, self.all_on_cores(), self.bound);
-        let short: Vec<f64> = self.numbers().map(|p| self.guarantee(p) - self.used(p) as f64).collect();
-        let wanting: Vec<bool> = self.numbers().map(|p| self.accounts[p].wants).collect();
+        self.estimate.advance(dt, self.all.on_cores, self.bound);
+        // Nobody is short of anything and nothing is owed: this is how a calm day goes by.
+        if self.accounts.iter().all(|a| !a.wants && a.credit == 0.0) {
+            return;
+        }
         // More than the common slots may be in use after a shrink: that is nobody's debt.
-        let someone_short = |but: usize| self.numbers().any(|p| p != but && wanting[p] && short[p] > EPSILON);
-        let owes: Vec<bool> = self.numbers().map(someone_short).collect();
+        let shorts = self.numbers().filter(|p| self.goes_short(*p)).count();
         let length = self.mean_length();
         for p in self.numbers() {
+            let (short, others) = (self.short(p), shorts - usize::from(self.goes_short(p)));
             let most = (self.guarantee(p) + 1.0) * OWED_RUNS * length;
-            let account = &mut self.accounts[p];
-            if wanting[p] && short[p] > 0.0 {
-                account.credit += short[p] * dt;
-            } else if short[p] < 0.0 && (account.credit > 0.0 || owes[p]) {
+            let (wants, mut credit) = (self.accounts[p].wants, self.accounts[p].credit);
+            if wants && short > 0.0 {
+                credit += short * dt;
+            } else if short < 0.0 && (credit > 0.0 || others > 0) {
                 // It is being paid back, or it runs on what another wants.
-                let floor = if owes[p] { -most } else { 0.0 };
-                account.credit = (account.credit + short[p] * dt).max(floor.min(account.credit));
-            } else if !wanting[p] || account.credit < 0.0 {
-                account.credit *= (-dt / FORGET_S).exp();
+                let floor = if others > 0 { -most } else { 0.0 };
+                credit = (credit + short * dt).max(floor.min(credit));
+            } else if !wants || credit < 0.0 {
+                credit *= (-dt / FORGET_S).exp();
             }
-            account.credit = account.credit.clamp(-most, most);
+            self.accounts[p].credit = if credit.abs() < FORGOTTEN { 0.0 } else { credit.clamp(-most, most) };
         }
     }
 
+    fn goes_short(&self, pool: usize) -> bool {
+        self.accounts[pool].wants && self.short(pool) > EPSILON
+    }
+
+    /// The common slots by which a pool is under its guarantee.
+    fn short(&self, pool: usize) -> f64 {
+        self.guarantee(pool) - self.used(pool) as f64
+    }
+
     fn mean_length(&self) -> f64 {
         let weighed = |(class, count): (usize, &Count)| {
             let n = (count.on_cores + count.held) as f64 + EPSILON;
@@ -306,15 +338,30 @@
     /// Whether the crowd has room for another run of a pool: others' parts are kept for them. Guards against one
     /// pool whose runs all stand at calls, which hold no slot but come back.
     fn crowd_has_room(&self, pool: usize) -> bool {
-        let all: usize = self.numbers().map(|p| self.crowd_of(p)).sum();
+        let all = self.all.on_cores + self.all.at_call;
+        if all >= self.crowd {
+            return false;
+        }
         let others: usize = self.numbers().filter(|p| *p != pool).map(|p| self.crowd_left(p)).sum();
-        all < self.crowd && (self.crowd_left(pool) > 0 || all + others < self.crowd)
+        self.crowd_left(pool) > 0 || all + others < self.crowd
     }
 
     /// The request that may start next, of those that could: `held` gives them with their classes, highest tier and
     /// oldest first. `crowd` is the number of runs that the executor survives for certain.
     pub fn choose<T: Copy>(&mut self, held: impl Iterator<Item = (T, usize)>, crowd: usize) -> Option<T> {
         self.crowd = crowd;
+        if self.all.held == 0 {
+            self.bound = false;
+            self.accounts.iter_mut().for_each(|a| a.wants = false);
+            return None;
+        }
+        let reserve = self.plan.reserve.is_some_and(|(p, n)| self.on_cores(p) < n && self.held(p) > 0);
+        if self.free() == 0 && !reserve {
+            // Nothing can start, whoever is first: no need to look for it.
+            self.bound = true;
+            self.accounts.iter_mut().zip(&self.counts).for_each(|(a, c)| a.wants = c.held > 0);
+            return None;
+        }
         let mut firsts: Vec<Option<(usize, T)>> = vec![None; self.plan.pools.len()];
         let mut missing = self.numbers().filter(|p| self.held(*p) > 0).count();
         for (order, (request, class)) in held.enumerate() {
@@ -385,7 +432,7 @@
     /// Looks at the limit; to be called with each wake-up.
     pub fn look(&mut self, now: f64, crowd: usize) {
         self.crowd = crowd;
-        let (before, on_cores) = (self.limit(), self.all_on_cores());
+        let (before, on_cores) = (self.limit(), self.all.on_cores);
         if self.estimate.look(on_cores, crowd) {
             self.report.limit_changed(before);
         }
--- a/src/pools/report.rs
+++ b/src/pools/report.rs
@@ -105,7 +105,7 @@
             name: self.plan.pools[p].name.clone(),
             held: self.held(p),
             on_cores: self.on_cores(p),
-            at_calls: self.sum(p, |c| c.at_call),
+            at_calls: self.counts[p].at_call,
             guarantee_slots: self.guarantee(p),
             ceiling_slots: self.ceiling(p),
             reserve_slots: self.reserve_of(p),
--- a/src/pools/tests.rs
+++ b/src/pools/tests.rs
@@ -205,7 +205,7 @@
                     _ => {}
                 }
                 w.settle(length);
-                let counted: usize = w.pools.all_on_cores();
+                let counted: usize = w.pools.all.on_cores;
                 assert_eq!(counted, w.running.len());
                 assert!(w.pools.numbers().all(|p| w.pools.slots(p).is_finite() && w.pools.slots(p) > 0.0));
             }
@@ -219,7 +219,8 @@
                 turns += 1;
                 assert!(turns < 4000, "something is never served");
             }
-            assert!(w.pools.classes.iter().all(|c| *c == super::Count::default()));
+            let counts = w.pools.classes.iter().chain(&w.pools.counts).chain([&w.pools.all]);
+            assert!(counts.into_iter().all(|c| *c == super::Count::default()));
             Ok(())
         })
         .unwrap();
