Let clients in over HTTP/2 cleartext, on the same core

Need: new portals speak HTTP/2 without TLS; they get a port of their own under the same rules. Change: src/net/http2/: the h2 codec on an in-memory transport that the loop feeds and drains, its futures polled in the turn without a runtime; one ticket a stream; resets, flow control, GOAWAY twice at a drain, bounds on what one look takes. meaning.rs holds what both HTTP fronts share; the core finds a torn request by its ticket, not by a search. Off without [http2]. Result: twelve stories against a peer that speaks frames byte by byte pass: one run for a key over streams and HTTP/1.1, resets before and after the start, refused streams, a drain in mid-stream, windows a byte at a time and below 0, malformed heads, rapid reset and endless header blocks ended with ENHANCE_YOUR_CALM. Not measured against HTTP/1.1 yet.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -3,7 +3,9 @@
 pub mod operator;
 pub mod pools;
 
-pub use operator::{AjpSettings, DirectorySettings, Identity, Operator, Route, ServerSettings, TenantRule};
+pub use operator::{
+    AjpSettings, DirectorySettings, Http2Settings, Identity, Operator, Route, ServerSettings, TenantRule,
+};
 
 use crate::interface::{Class, Dependency, Effect, Gauges, Halting, Settings, Signal, Tenant};
 use serde::Deserialize;
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -14,6 +14,79 @@
     pub backend: Option<ServerSettings>,
     pub directory: Option<DirectorySettings>,
     pub pools: Option<PoolSettings>,
+    pub http2: Option<Http2Settings>,
+}
+
+/// The HTTP/2 front; what each bound guards against is in `docs/operators/http2.md`.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Http2Settings {
+    pub listen: SocketAddr,
+    /// Streams that a client may have open at once on a connection.
+    #[serde(default = "default_streams")]
+    pub streams: u32,
+    /// What a client may send ahead on a stream and on a connection (KiB).
+    #[serde(default = "default_stream_window_kb")]
+    pub stream_window_kb: u32,
+    #[serde(default = "default_connection_window_kb")]
+    pub connection_window_kb: u32,
+    /// Names and values of one request's headers at most (KiB).
+    #[serde(default = "default_header_list_kb")]
+    pub header_list_kb: u32,
+    /// Of a stream's answer, what may wait in the codec (KiB).
+    #[serde(default = "default_send_buffer_kb")]
+    pub send_buffer_kb: u32,
+    /// Streams reset before they were taken, and streams in error, before the connection is ended.
+    #[serde(default = "default_pending_resets")]
+    pub pending_resets: usize,
+    #[serde(default = "default_error_resets")]
+    pub error_resets: usize,
+}
+
+fn default_streams() -> u32 {
+    100
+}
+
+fn default_stream_window_kb() -> u32 {
+    4
+}
+
+fn default_connection_window_kb() -> u32 {
+    64
+}
+
+fn default_header_list_kb() -> u32 {
+    8
+}
+
+fn default_send_buffer_kb() -> u32 {
+    8
+}
+
+fn default_pending_resets() -> usize {
+    20
+}
+
+fn default_error_resets() -> usize {
+    64
+}
+
+impl Http2Settings {
+    fn check(&self) -> Result<(), String> {
+        let within = |key: &str, value: u64, least: u64, most: u64| {
+            if (least..=most).contains(&value) {
+                return Ok(());
+            }
+            Err(format!("http2.{key} is {value}; expected {least} to {most}"))
+        };
+        within("streams", u64::from(self.streams), 1, 1000)?;
+        within("stream_window_kb", u64::from(self.stream_window_kb), 2, 1024)?;
+        within("connection_window_kb", u64::from(self.connection_window_kb), 64, 16 * 1024)?;
+        within("header_list_kb", u64::from(self.header_list_kb), 1, 64)?;
+        within("send_buffer_kb", u64::from(self.send_buffer_kb), 4, 1024)?;
+        within("pending_resets", self.pending_resets as u64, 1, 10_000)?;
+        within("error_resets", self.error_resets as u64, 1, 10_000)
+    }
 }
 
 /// The AJP front.
@@ -174,6 +247,9 @@
                 return Err("directory: an attribute's name is empty".to_owned());
             }
         }
+        if let Some(http2) = &operator.http2 {
+            http2.check()?;
+        }
         if let Some(pools) = &operator.pools {
             pools.plan(&config.settings)?;
         }
@@ -186,6 +262,7 @@
             ("[ajp]", self.ajp != other.ajp),
             ("[backend]", self.backend != other.backend),
             ("[directory]", self.directory != other.directory),
+            ("[http2]", self.http2 != other.http2),
         ];
         differs.into_iter().filter_map(|(name, differs)| differs.then_some(name)).collect()
     }
@@ -217,6 +294,11 @@
             (good.replace("[[ajp.route]]", "[[ajp.other]]"), "route"),
             (format!("{good}[[ajp.tenant]]\nremote_user = \"u\"\ntenant = \"t\"\n"), "tenant"),
             ("[backend]\nservers = []\n".to_owned(), "servers"),
+            (
+                "[http2]\nlisten = \"127.0.0.1:0\"\nstreams = 0\n".to_owned(),
+                "http2.streams is 0; expected 1 to 1000",
+            ),
+            ("[http2]\nlisten = \"here\"\n".to_owned(), "line 2"),
             ("[ajp".to_owned(), "line 1"),
         ] {
             let error = Operator::decode(&text, &config).unwrap_err();
@@ -247,6 +329,7 @@
             (pools.replace("[pools]\n", "[pools]\n[pools.reserv]\nslots = 1\n"), "reserv", 2),
             (pools.replace("[pools]\n", "[pools.reserve]\npool = \"p\"\nslot = 1\n"), "slot", 3),
             (format!("{pools}guaranty = 0.5\n"), "guaranty", 5),
+            ("[http2]\nlisten = \"127.0.0.1:0\"\nstream = 5\n".to_owned(), "stream", 3),
         ] {
             let error = Operator::decode(&text, &config).expect_err(unknown);
             let expected = format!("line {line}: unknown field `{unknown}`");
@@ -260,6 +343,11 @@
         let text = include_str!("../../deploy/ajp.toml");
         let operator = Operator::decode(text, &config).unwrap();
         assert!(operator.ajp.is_some() && operator.backend.is_none() && operator.directory.is_none());
+        let http2 =
+            Operator::decode(include_str!("../../deploy/http2.toml"), &config).unwrap().http2.unwrap();
+        // What it shows are the defaults.
+        let plain = Operator::decode("[http2]\nlisten = \"127.0.0.1:7002\"\n", &config).unwrap().http2;
+        assert_eq!(Some(http2), plain);
         // The parts that are shown switched off are good as well.
         let on: String = text
             .lines()
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -183,6 +183,8 @@
     controller: Controller,
     requests: HashMap<RequestId, Held>,
     names: HashMap<Rc<str>, RequestId>,
+    /// Answers owed, by where.
+    tickets: HashMap<Ticket, RequestId>,
     keys: Keys,
     prints: RandomState,
     next: u64,
@@ -206,6 +208,7 @@
             controller,
             requests: HashMap::new(),
             names: HashMap::new(),
+            tickets: HashMap::new(),
             keys: Keys::new(result_bytes, (result_bytes / BYTES_A_KEY).max(KEYS_LEAST)),
             prints: RandomState::new(),
             next: 0,
@@ -316,8 +319,8 @@
             }
             Input::InDoubt { from, to } => self.ask_again(now, from, to, out),
             Input::Gone(ticket) => {
-                let owed = self.requests.iter().find(|(_, h)| h.request.ticket == ticket && !h.answered);
-                let Some(id) = owed.map(|(id, _)| *id) else { return };
+                // By name, not by a search: floods of resets come this way.
+                let Some(id) = self.tickets.remove(&ticket) else { return };
                 let Some(held) = self.requests.get_mut(&id) else { return };
                 held.answered = true;
                 self.owed -= 1;
@@ -377,6 +380,7 @@
             retry: request.retry,
         });
         self.names.insert(request.name.clone(), id);
+        self.tickets.insert(request.ticket, id);
         self.owed += 1;
         let due = now + request.patience_s;
         let (answered, started, calling) = (false, false, false);
@@ -393,6 +397,7 @@
         let Some(held) = self.requests.get_mut(&id).filter(|h| !h.answered) else { return };
         held.answered = true;
         self.owed -= 1;
+        self.tickets.remove(&held.request.ticket);
         out.push(Command::Answer(held.request.ticket, answer));
     }
 
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -206,6 +206,18 @@
         self.all.get_mut(&id)
     }
 
+    /// Those of which this is true, in the order in which they were accepted.
+    pub fn ids_where(&self, is: impl Fn(&Connection<P>) -> bool) -> Vec<u64> {
+        let mut ids: Vec<u64> = self.all.iter().filter(|(_, c)| is(c)).map(|(id, _)| *id).collect();
+        ids.sort_unstable();
+        ids
+    }
+
+    /// Has all connections looked at.
+    pub fn touch_all(&mut self) {
+        self.touched.extend(self.all.keys());
+    }
+
     /// Has this connection looked at again in the same turn.
     pub fn touch(&mut self, id: u64) {
         self.touched.push(id);
--- a/src/net/http_front.rs
+++ b/src/net/http_front.rs
@@ -3,6 +3,7 @@
 use super::buffer::Filled;
 use super::connections::{Connections, Next, Stage, STEPS_MOST};
 use super::fields::{Catalogue, Fault, Fields, BODY_MOST};
+use super::meaning::{meaning, target, Fail, Target};
 use super::poll::{Place, Poll};
 use super::{Clock, State};
 use crate::core::{Answer, Input, Request, Ticket};
@@ -30,16 +31,8 @@
     Bad(Fail),
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Fail {
-    code: u16,
-    why: &'static str,
-    /// Goes with a 405.
-    allow: &'static str,
-}
-
 fn fail(code: u16, why: &'static str) -> Parsed {
-    Parsed::Bad(Fail { code, why, allow: "" })
+    Parsed::Bad(Fail::new(code, why))
 }
 
 impl HttpFront {
@@ -129,24 +122,18 @@
         let Some(c) = self.connections.get_mut(ticket.0).filter(|c| c.stage == Stage::Asked) else { return };
         c.close |= state.leaving;
         c.step(now, Stage::Answering);
-        match answer {
-            Answer::Served(result) => {
-                c.link.push(head(200, "OK", result.len(), "", state, c.close));
-                c.link.push_shared(result);
-            }
-            Answer::Refused { stay_away_s, no_other } => {
-                let mut extra = String::new();
-                if stay_away_s > 0.0 {
-                    let _ = write!(extra, "X-Pushback-Ms: {}\r\n", (stay_away_s * 1000.0).ceil());
-                }
-                if no_other {
-                    extra.push_str("X-Stop-Trying: 1\r\n");
-                }
-                c.link.push(simple(503, reason(503), "", &extra, state, c.close));
-            }
-            Answer::Failed => c.link.push(simple(500, reason(500), "", "", state, c.close)),
-            Answer::Conflict => c.link.push(simple(409, reason(409), "", "", state, c.close)),
-            Answer::OutOfTime => c.link.push(simple(504, reason(504), "", "", state, c.close)),
+        let meaning = meaning(answer);
+        let mut extra = String::new();
+        if let Some(ms) = meaning.pushback_ms {
+            let _ = write!(extra, "X-Pushback-Ms: {ms}\r\n");
+        }
+        if meaning.stop_trying {
+            extra.push_str("X-Stop-Trying: 1\r\n");
+        }
+        let length = meaning.body.as_ref().map_or(0, |b| b.len());
+        c.link.push(head(meaning.code, reason(meaning.code), length, &extra, state, c.close));
+        if let Some(body) = meaning.body {
+            c.link.push_shared(body);
         }
         self.connections.touch(ticket.0);
     }
@@ -163,6 +150,7 @@
         431 => "Request Header Fields Too Large",
         500 => "Internal Server Error",
         504 => "Gateway Timeout",
+        200 => "OK",
         _ => "Service Unavailable",
     }
 }
@@ -225,28 +213,16 @@
         }
     }
     let length = length.unwrap_or(0);
-    let path = head.path.unwrap_or("");
-    let (path, _) = path.split_once('?').unwrap_or((path, ""));
-    let method = head.method.unwrap_or("");
     if length > BODY_MOST {
         return fail(413, "the body is too long");
     }
-    let class = if path == "/check" {
-        if method != "GET" {
-            return Parsed::Bad(Fail { code: 405, why: "checks are asked for with GET", allow: "GET" });
-        }
-        None
-    } else {
-        let class = path.strip_prefix("/do/").and_then(|name| known.class(name));
-        let Some(class) = class else { return fail(404, "no such class") };
-        if method != "POST" {
-            return Parsed::Bad(Fail { code: 405, why: "requests are sent with POST", allow: "POST" });
-        }
-        Some(class)
+    let target = match target(head.method.unwrap_or(""), head.path.unwrap_or(""), known) {
+        Ok(target) => target,
+        Err(fail) => return Parsed::Bad(fail),
     };
     let Some(body) = data.get(start..start + length) else { return Parsed::Partial { wants_continue } };
     let length = start + length;
-    let Some(class) = class else { return Parsed::Check { length, keep } };
+    let Target::Run(class) = target else { return Parsed::Check { length, keep } };
     match fields.request(ticket, class, None, body, known, clock) {
         Ok(request) => Parsed::Whole { request: Box::new(request), length, keep },
         Err(Fault::UnknownTenant) => fail(403, "unknown tenant"),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,7 +9,9 @@
 pub mod directory;
 pub mod executor;
 pub mod fields;
+pub mod http2;
 pub mod http_front;
+pub mod meaning;
 pub mod poll;
 pub mod pool;
 pub mod records;
@@ -27,6 +29,7 @@
 use directory::Directory;
 use executor::{Executor, Welcome};
 use fields::Catalogue;
+use http2::Http2Front;
 use http_front::HttpFront;
 use poll::{Gathered, Place, Poll, ACCEPT_PAUSE_S};
 use records::Records;
@@ -154,6 +157,7 @@
     idle_s: f64,
     http: HttpFront,
     ajp: Option<AjpFront>,
+    http2: Option<Http2Front>,
     directory: Option<Directory>,
     /// Runs go to the executor, or to AJP servers where the operator names some.
     executor: Executor,
@@ -231,6 +235,13 @@
             }
             None => None,
         };
+        let http2 = match operator.http2.clone() {
+            Some(http2) => {
+                let listen = http2.listen;
+                Some(Http2Front::bind(poll, http2).map_err(|e| format!("{listen}: {e}"))?)
+            }
+            None => None,
+        };
         let directory = operator.directory.clone().map(|settings| Directory::new(poll, settings));
         let servers = operator.backend.clone().map(|settings| AjpBackend::new(poll, settings));
         let registry = match config.registry {
@@ -241,6 +252,7 @@
         for (front, address) in [
             ("http", http.connections.address()),
             ("ajp", ajp.as_ref().and_then(|a| a.connections.address())),
+            ("http2", http2.as_ref().and_then(|h| h.connections.address())),
         ] {
             if let Some(address) = address {
                 log.line(&format!("{}: {front} on {address}", config.name));
@@ -269,6 +281,7 @@
             settings,
             http,
             ajp,
+            http2,
             directory,
             executor,
             servers,
@@ -293,6 +306,16 @@
                         a.connections.mark(id, readable, writable);
                     }
                 }
+                Place::Http2Listener => {
+                    if let Some(h) = &mut self.http2 {
+                        h.connections.mark_listener();
+                    }
+                }
+                Place::Http2(id) => {
+                    if let Some(h) = &mut self.http2 {
+                        h.connections.mark(id, readable, writable);
+                    }
+                }
                 Place::Directory(id) => {
                     if let Some(d) = &mut self.directory {
                         d.mark(id, readable, writable);
@@ -353,6 +376,7 @@
     fn pending(&self) -> bool {
         self.http.connections.pending()
             || self.ajp.as_ref().is_some_and(|a| a.connections.pending())
+            || self.http2.as_ref().is_some_and(|h| h.connections.pending())
             || self.servers.as_ref().is_some_and(AjpBackend::pending)
             || self.records.as_ref().is_some_and(Records::pending)
     }
@@ -377,6 +401,9 @@
             records.gather(now, inputs, &mut self.wheel, &mut self.log);
         }
         let mut paused = self.http.gather(&self.clock, &self.state, inputs);
+        if let Some(http2) = &mut self.http2 {
+            paused |= http2.gather(&self.clock, &self.state, inputs);
+        }
         if let Some(ajp) = &mut self.ajp {
             let (clock, state, log) = (&self.clock, &self.state, &mut self.log);
             let mut lookups = Vec::new();
@@ -411,7 +438,10 @@
     fn answer(&mut self, now: f64, ticket: Ticket, answer: Answer) {
         match &mut self.ajp {
             Some(ajp) if ajp.connections.owns(ticket.0) => ajp.answer(now, ticket, answer, &self.state),
-            _ => self.http.answer(now, ticket, answer, &self.state),
+            _ => match &mut self.http2 {
+                Some(http2) if http2.owns(ticket) => http2.answer(now, ticket, answer, &self.state),
+                _ => self.http.answer(now, ticket, answer, &self.state),
+            },
         }
     }
 
@@ -550,6 +580,10 @@
         }
         self.state.leaving = true;
         inputs.push(Input::Leave { in_s });
+        if let Some(http2) = &mut self.http2 {
+            // Each connection is told to go.
+            http2.connections.touch_all();
+        }
         self.beat(false);
     }
 
@@ -611,6 +645,10 @@
         let now = self.clock.now();
         let closing = self.leaving.as_ref().is_some_and(|l| l.closed.is_some());
         self.sweep_fronts(now, closing);
+        if let Some(http2) = &mut self.http2 {
+            http2.sweep(now, &mut self.left_over);
+            self.wheel.set(now, 0.0, Timer::Again);
+        }
         if let Some(s) = &mut self.servers {
             s.sweep(now);
         }
@@ -624,6 +662,9 @@
         if let Some(ajp) = &mut self.ajp {
             ajp.connections.sweep(now, self.idle_s, leaving);
         }
+        if let Some(http2) = &mut self.http2 {
+            http2.connections.sweep(now, self.idle_s, leaving);
+        }
     }
 
     /// Closes the door when nothing more may be run, and ends when all is answered and written.
@@ -638,13 +679,17 @@
             if let Some(ajp) = &mut self.ajp {
                 ajp.connections.stop_listening();
             }
+            if let Some(http2) = &mut self.http2 {
+                http2.connections.stop_listening();
+            }
             self.sweep_fronts(now, true);
             // Wakes the loop for the end itself.
             self.wheel.set(now, CROSSING_S, Timer::Again);
         }
         let answered = self.core.as_ref().map_or(0, Core::owed) == 0
             && self.http.connections.quiet()
-            && self.ajp.as_ref().map_or(true, |a| a.connections.quiet());
+            && self.ajp.as_ref().map_or(true, |a| a.connections.quiet())
+            && self.http2.as_ref().map_or(true, |h| h.connections.quiet());
         let Some(leaving) = &self.leaving else { return };
         let crossed = leaving.closed.is_some_and(|at| now >= at + CROSSING_S);
         if crossed && answered || now >= leaving.stop - STOP_MARGIN_S {
--- a/src/net/poll.rs
+++ b/src/net/poll.rs
@@ -26,8 +26,10 @@
 pub enum Place {
     HttpListener,
     AjpListener,
+    Http2Listener,
     Http(u64),
     Ajp(u64),
+    Http2(u64),
     Executor(u64),
     Records(u64),
     AjpServer(u64),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -64,6 +64,7 @@
     pub log: Vec<String>,
     pub http: SocketAddr,
     pub ajp: Option<SocketAddr>,
+    pub http2: Option<SocketAddr>,
     pub executor: TcpListener,
     pub records: TcpListener,
     pub registry: UdpSocket,
@@ -139,6 +140,7 @@
             log: Vec::new(),
             http: nowhere,
             ajp: None,
+            http2: None,
             executor,
             records,
             registry,
@@ -147,6 +149,7 @@
         };
         site.http = site.address("http on ");
         site.ajp = operator.filter(|o| o.contains("[ajp]")).map(|_| site.address("ajp on "));
+        site.http2 = operator.filter(|o| o.contains("[http2]")).map(|_| site.address("http2 on "));
         site
     }
 
--- /dev/null
+++ b/tests/http2.rs
@@ -0,0 +1,511 @@
+//! The HTTP/2 front over loopback, against a peer that speaks frames byte by byte. One story for each failure.
+
+mod common;
+
+use common::{name, unix_ms, Ask, Client, Executor, Site, PATIENCE};
+use serde_json::{json, Value};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+const FRONT: &str = "[http2]\nlisten = \"127.0.0.1:0\"\n";
+const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+
+// Frame types, flags and error codes of RFC 9113, sections 6 and 7.
+const DATA: u8 = 0;
+const HEADERS: u8 = 1;
+const RST_STREAM: u8 = 3;
+const SETTINGS: u8 = 4;
+const PING: u8 = 6;
+const GOAWAY: u8 = 7;
+const WINDOW_UPDATE: u8 = 8;
+const CONTINUATION: u8 = 9;
+const END_STREAM: u8 = 1;
+const ACK: u8 = 1;
+const END_HEADERS: u8 = 4;
+const NO_ERROR: u32 = 0;
+const PROTOCOL_ERROR: u32 = 1;
+const REFUSED_STREAM: u32 = 7;
+const CANCEL: u32 = 8;
+const ENHANCE_YOUR_CALM: u32 = 11;
+
+#[derive(Clone, Debug)]
+struct Frame {
+    kind: u8,
+    flags: u8,
+    stream: u32,
+    payload: Vec<u8>,
+    /// Of a header block, which must be unpacked in the order of the wire.
+    headers: Vec<(String, String)>,
+}
+
+impl Frame {
+    fn code(&self, at: usize) -> u32 {
+        u32::from_be_bytes(self.payload[at..at + 4].try_into().unwrap())
+    }
+}
+
+#[derive(Debug, Default)]
+struct Reply {
+    status: u16,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+    /// The stream was reset with this code.
+    reset: Option<u32>,
+}
+
+impl Reply {
+    fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+}
+
+struct Peer {
+    stream: TcpStream,
+    decoder: hpack::Decoder<'static>,
+    /// Frames read while another was waited for.
+    kept: Vec<Frame>,
+    ack_pings: bool,
+}
+
+fn pair(name: &str, value: &str) -> (String, String) {
+    (name.to_owned(), value.to_owned())
+}
+
+impl Peer {
+    /// Connects and says the preface with these settings (identifier, value).
+    fn connect(site: &Site, settings: &[(u16, u32)]) -> Peer {
+        let stream = TcpStream::connect(site.http2.unwrap()).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        let mut peer = Peer { stream, decoder: hpack::Decoder::new(), kept: Vec::new(), ack_pings: true };
+        peer.stream.write_all(PREFACE).unwrap();
+        let payload: Vec<u8> = settings
+            .iter()
+            .flat_map(|(id, v)| [&id.to_be_bytes()[..], &v.to_be_bytes()[..]].concat())
+            .collect();
+        peer.frame(SETTINGS, 0, 0, &payload);
+        peer
+    }
+
+    fn frame(&mut self, kind: u8, flags: u8, stream: u32, payload: &[u8]) {
+        let length = &(payload.len() as u32).to_be_bytes()[1..];
+        let bytes = [length, &[kind, flags], &stream.to_be_bytes(), payload].concat();
+        self.stream.write_all(&bytes).unwrap();
+    }
+
+    /// Literals without indexing and without Huffman coding (RFC 7541, 6.2.2).
+    fn block(list: &[(String, String)]) -> Vec<u8> {
+        let mut block = Vec::new();
+        for (name, value) in list {
+            assert!(name.len() < 127 && value.len() < 127);
+            block.push(0);
+            block.push(name.len() as u8);
+            block.extend(name.bytes());
+            block.push(value.len() as u8);
+            block.extend(value.bytes());
+        }
+        block
+    }
+
+    fn head(class: &str, key: Option<&str>) -> Vec<(String, String)> {
+        let mut head = vec![
+            pair(":method", "POST"),
+            pair(":scheme", "http"),
+            pair(":authority", "service.internal"),
+            pair(":path", &format!("/do/{class}")),
+            pair("x-correlation-id", &name()),
+            pair("x-arrived-ms", &unix_ms().to_string()),
+            pair("x-org", "acme"),
+            pair("x-deadline-ms", "8000"),
+        ];
+        head.extend(key.map(|k| pair("x-operation-key", k)));
+        head
+    }
+
+    fn ask(&mut self, stream: u32, class: &str, key: Option<&str>, body: &str) {
+        let block = Peer::block(&Peer::head(class, key));
+        self.frame(HEADERS, END_HEADERS, stream, &block);
+        self.frame(DATA, END_STREAM, stream, body.as_bytes());
+    }
+
+    fn reset(&mut self, stream: u32) {
+        self.frame(RST_STREAM, 0, stream, &CANCEL.to_be_bytes());
+    }
+
+    fn window(&mut self, stream: u32, more: u32) {
+        self.frame(WINDOW_UPDATE, 0, stream, &more.to_be_bytes());
+    }
+
+    /// The next frame from the wire; `None` at the end. Settings are acknowledged along the way.
+    fn read(&mut self) -> Option<Frame> {
+        let mut head = [0; 9];
+        self.stream.read_exact(&mut head).ok()?;
+        let length = u32::from_be_bytes([0, head[0], head[1], head[2]]) as usize;
+        let mut payload = vec![0; length];
+        self.stream.read_exact(&mut payload).ok()?;
+        let stream = u32::from_be_bytes(head[5..9].try_into().unwrap());
+        let mut frame = Frame { kind: head[3], flags: head[4], stream, payload, headers: Vec::new() };
+        if frame.kind == HEADERS {
+            let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+            let list = self.decoder.decode(&frame.payload).unwrap();
+            frame.headers = list.into_iter().map(|(n, v)| (text(n), text(v))).collect();
+        }
+        if frame.kind == SETTINGS && frame.flags & ACK == 0 {
+            self.frame(SETTINGS, ACK, 0, &[]);
+        }
+        if frame.kind == PING && frame.flags & ACK == 0 && self.ack_pings {
+            let payload = frame.payload.clone();
+            self.frame(PING, ACK, 0, &payload);
+        }
+        Some(frame)
+    }
+
+    fn next(&mut self, what: &str, is: impl Fn(&Frame) -> bool) -> Frame {
+        if let Some(at) = self.kept.iter().position(&is) {
+            return self.kept.remove(at);
+        }
+        loop {
+            let frame = self.read().unwrap_or_else(|| panic!("closed before {what}; kept {:?}", self.kept));
+            if is(&frame) {
+                return frame;
+            }
+            self.kept.push(frame);
+        }
+    }
+
+    /// All of one stream's answer.
+    fn answer(&mut self, stream: u32) -> Reply {
+        let mut reply = Reply::default();
+        loop {
+            let frame = self
+                .next("an answer", |f| f.stream == stream && matches!(f.kind, DATA | HEADERS | RST_STREAM));
+            match frame.kind {
+                HEADERS => {
+                    for (name, value) in frame.headers {
+                        if name == ":status" {
+                            reply.status = value.parse().unwrap();
+                        }
+                        reply.headers.push((name, value));
+                    }
+                }
+                DATA => reply.body.extend(&frame.payload),
+                _ => {
+                    reply.reset = Some(frame.code(0));
+                    return reply;
+                }
+            }
+            if frame.flags & END_STREAM != 0 {
+                return reply;
+            }
+        }
+    }
+
+    fn goaway(&mut self) -> (u32, u32) {
+        let frame = self.next("GOAWAY", |f| f.kind == GOAWAY);
+        (frame.code(0) & 0x7fff_ffff, frame.code(4))
+    }
+
+    fn closed(&mut self) -> bool {
+        while let Some(frame) = self.read() {
+            self.kept.push(frame);
+        }
+        true
+    }
+}
+
+fn starts(executor: &mut Executor, class: &str) -> Value {
+    let command = executor.next("EXEC");
+    assert_eq!(command["kind"], class, "{command}");
+    command["job"].clone()
+}
+
+#[test]
+fn an_order_on_a_stream_is_one_run_for_every_front() {
+    let site = Site::with(|_| {}, Some(FRONT));
+    let (mut executor, mut peer) = (site.link(), Peer::connect(&site, &[]));
+    peer.ask(1, "order", Some("k1"), "hello");
+    let job = starts(&mut executor, "order");
+    // Again on another stream, and over HTTP/1.1, while it runs.
+    peer.ask(3, "order", Some("k1"), "hello");
+    let mut client = Client::connect(site.http);
+    client.send(&Ask { key: Some("k1"), ..Ask::new("order") });
+    executor.quiet_but_for(&site, "none");
+    executor.exit(&job, "PASS", "placed");
+    let replies = [peer.answer(1), peer.answer(3)];
+    assert!(replies.iter().all(|r| r.status == 200 && r.body == b"placed"), "{replies:?}");
+    assert_eq!(client.answer().body, b"placed");
+    // And after it.
+    peer.ask(5, "order", Some("k1"), "hello");
+    assert_eq!(peer.answer(5).body, b"placed");
+}
+
+#[test]
+fn a_reset_after_the_run_began_keeps_the_result_for_the_next_try() {
+    let site = Site::with(|_| {}, Some(FRONT));
+    let (mut executor, mut peer) = (site.link(), Peer::connect(&site, &[]));
+    peer.ask(1, "order", Some("k1"), "hello");
+    let job = starts(&mut executor, "order");
+    peer.reset(1);
+    executor.quiet_but_for(&site, "none");
+    executor.exit(&job, "PASS", "placed");
+    peer.ask(3, "order", Some("k1"), "hello");
+    assert_eq!(peer.answer(3).body, b"placed");
+    let mut client = Client::connect(site.http);
+    assert_eq!(client.ask(&Ask { key: Some("k1"), ..Ask::new("order") }).body, b"placed");
+}
+
+#[test]
+fn a_reset_before_the_start_is_forgotten_and_its_slot_goes_to_the_next() {
+    let site = Site::with(|_| {}, Some(FRONT));
+    let (mut executor, mut peer) = (site.link(), Peer::connect(&site, &[]));
+    for (stream, key) in [(1, "k1"), (3, "k2"), (5, "k3"), (7, "k4")] {
+        peer.ask(stream, "order", Some(key), "hello");
+    }
+    let jobs = [starts(&mut executor, "order"), starts(&mut executor, "order")];
+    peer.reset(5);
+    // The answer to a ping shows that the reset has been read.
+    peer.frame(PING, 0, 0, b"whatever");
+    peer.next("the ping's answer", |f| f.kind == PING && f.flags & ACK != 0);
+    executor.exit(&jobs[0], "PASS", "one");
+    let next = executor.next("EXEC");
+    executor.exit(&jobs[1], "PASS", "two");
+    executor.exit(&next["job"], "PASS", "four");
+    let bodies = [peer.answer(1).body, peer.answer(3).body, peer.answer(7).body];
+    assert_eq!(bodies, [b"one".to_vec(), b"two".to_vec(), b"four".to_vec()]);
+}
+
+#[test]
+fn a_stream_beyond_the_limit_is_refused_and_nothing_of_it_runs() {
+    let site = Site::with(|_| {}, Some("[http2]\nlisten = \"127.0.0.1:0\"\nstreams = 2\n"));
+    let (mut executor, mut peer) = (site.link(), Peer::connect(&site, &[]));
+    for stream in [1, 3, 5] {
+        peer.ask(stream, "order", Some(&format!("k{stream}")), "hello");
+    }
+    let jobs = [starts(&mut executor, "order"), starts(&mut executor, "order")];
+    assert_eq!(peer.answer(5).reset, Some(REFUSED_STREAM));
+    executor.exit(&jobs[0], "PASS", "one");
+    executor.exit(&jobs[1], "PASS", "two");
+    assert_eq!((peer.answer(1).body, peer.answer(3).body), (b"one".to_vec(), b"two".to_vec()));
+    // It is true that nothing ran: its key runs now, for the first time.
+    peer.ask(7, "order", Some("k5"), "hello");
+    let job = starts(&mut executor, "order");
+    executor.exit(&job, "PASS", "five");
+    assert_eq!(peer.answer(7).body, b"five");
+}
+
+#[test]
+fn a_refusal_says_when_to_come_back_in_the_same_words_as_the_platforms_front() {
+    let pools = "[pools]\n[[pools.pool]]\nname = \"orders\"\nclasses = [\"order\"]\nqueue = 1\n";
+    let site = Site::with(|_| {}, Some(&format!("{FRONT}{pools}")));
+    let (mut executor, mut peer) = (site.link(), Peer::connect(&site, &[]));
+    for stream in [1, 3, 5, 7] {
+        peer.ask(stream, "order", Some(&format!("k{stream}")), "hello");
+    }
+    let jobs = [starts(&mut executor, "order"), starts(&mut executor, "order")];
+    let refused = peer.answer(7);
+    let advice: u64 = refused.header("x-pushback-ms").unwrap().parse().unwrap();
+    assert!(refused.status == 503 && (1..=1000).contains(&advice), "{refused:?}");
+    assert_eq!(refused.header("x-backend-says"), Some("1"));
+    for job in &jobs {
+        executor.exit(job, "PASS", "placed");
+    }
+    let job = starts(&mut executor, "order");
+    executor.exit(&job, "PASS", "placed");
+    assert!([1, 3, 5].iter().all(|s| peer.answer(*s).status == 200));
+    // Health is asked for in the same way, and a method that fits nothing is said to.
+    let ask = |method: &str, path: &str| {
+        [pair(":method", method), pair(":scheme", "http"), pair(":authority", "x"), pair(":path", path)]
+    };
+    peer.frame(HEADERS, END_HEADERS | END_STREAM, 9, &Peer::block(&ask("GET", "/check?e2e=1")));
+    assert_eq!(peer.answer(9).body, b"good\n");
+    peer.frame(HEADERS, END_HEADERS | END_STREAM, 11, &Peer::block(&ask("PUT", "/check")));
+    let reply = peer.answer(11);
+    assert_eq!((reply.status, reply.header("allow")), (405, Some("GET")));
+}
+
+#[test]
+fn a_drain_in_mid_stream_says_goodbye_twice_answers_all_and_closes() {
+    let mut site = Site::with(|_| {}, Some(FRONT));
+    let (mut executor, mut peer) = (site.link(), Peer::connect(&site, &[]));
+    let mut idle = Peer::connect(&site, &[]);
+    idle.frame(PING, 0, 0, b"whatever");
+    idle.next("the ping's answer", |f| f.kind == PING && f.flags & ACK != 0);
+    peer.ack_pings = false;
+    peer.ask(1, "order", Some("k1"), "hello");
+    let job = starts(&mut executor, "order");
+    site.terminate();
+    assert_eq!(peer.goaway(), (0x7fff_ffff, NO_ERROR));
+    // A stream that crossed it is still taken, and its read is answered.
+    peer.ask(3, "look", None, "hello");
+    let crossed = starts(&mut executor, "look");
+    let ping = peer.next("a ping", |f| f.kind == PING && f.flags & ACK == 0);
+    peer.frame(PING, ACK, 0, &ping.payload);
+    assert_eq!(peer.goaway(), (3, NO_ERROR));
+    executor.exit(&job, "PASS", "placed");
+    executor.exit(&crossed, "PASS", "seen");
+    assert_eq!((peer.answer(1).body, peer.answer(3).body), (b"placed".to_vec(), b"seen".to_vec()));
+    assert!(peer.closed() && idle.closed());
+    site.wait_log("left with all answered");
+    assert!(site.ended_well());
+}
+
+#[test]
+fn a_client_of_another_version_gets_a_word_that_it_can_read() {
+    let site = Site::with(|_| {}, Some(FRONT));
+    let _executor = site.link();
+    let mut client = Client::connect(site.http2.unwrap());
+    client.write("GET /check HTTP/1.1\r\nHost: x\r\n\r\n");
+    let reply = client.answer();
+    assert_eq!((reply.status, reply.header("Connection")), (505, Some("close")));
+    assert!(client.closed());
+    // Half a preface and then nothing: closed in its time, and the worker serves on.
+    let mut half = Client::connect(site.http2.unwrap());
+    half.write("PRI * HTTP/2.0\r\n");
+    assert!(half.closed());
+    assert_eq!(Client::connect(site.http).ask_check(), 200);
+}
+
+#[test]
+fn an_answer_waits_for_windows_that_open_a_byte_at_a_time() {
+    let site = Site::with(|_| {}, Some(FRONT));
+    // SETTINGS_INITIAL_WINDOW_SIZE of 0.
+    let (mut executor, mut peer) = (site.link(), Peer::connect(&site, &[(4, 0)]));
+    peer.ask(1, "look", None, "hello");
+    let job = starts(&mut executor, "look");
+    executor.exit(&job, "PASS", "twelve bytes");
+    let head = peer.next("the head", |f| f.kind == HEADERS);
+    assert_eq!(head.flags & END_STREAM, 0);
+    let mut body = Vec::new();
+    for _ in 0..12 {
+        peer.window(1, 1);
+        let data = peer.next("a byte", |f| f.kind == DATA);
+        assert_eq!(data.payload.len(), 1);
+        body.extend(data.payload);
+    }
+    assert_eq!(body, b"twelve bytes");
+    // Windows that go below 0: two streams in flight, then settings that shrink what they were given.
+    peer.frame(SETTINGS, 0, 0, &[&4u16.to_be_bytes()[..], &8u32.to_be_bytes()[..]].concat());
+    peer.ask(3, "look", None, "hello");
+    let job = starts(&mut executor, "look");
+    executor.exit(&job, "PASS", "twelve bytes");
+    assert_eq!(peer.next("eight bytes", |f| f.kind == DATA && f.stream == 3).payload.len(), 8);
+    peer.frame(SETTINGS, 0, 0, &[&4u16.to_be_bytes()[..], &0u32.to_be_bytes()[..]].concat());
+    peer.window(3, 8);
+    peer.frame(PING, 0, 0, b"whatever");
+    peer.next("the ping's answer", |f| f.kind == PING && f.flags & ACK != 0);
+    assert!(!peer.kept.iter().any(|f| f.kind == DATA), "sent into a closed window");
+    peer.window(3, 4);
+    assert_eq!(peer.next("the rest", |f| f.kind == DATA && f.stream == 3).payload, b"ytes");
+}
+
+#[test]
+fn a_body_that_is_too_long_is_refused_without_reading_on() {
+    let site = Site::with(|_| {}, Some(FRONT));
+    let (mut executor, mut peer) = (site.link(), Peer::connect(&site, &[]));
+    let block = Peer::block(&Peer::head("look", None));
+    peer.frame(HEADERS, END_HEADERS, 1, &block);
+    peer.frame(DATA, 0, 1, &[b'x'; 1500]);
+    peer.frame(DATA, 0, 1, &[b'x'; 1500]);
+    assert_eq!(peer.answer(1).status, 413);
+    // Other streams of the connection are not touched.
+    peer.ask(3, "look", None, "hello");
+    let job = starts(&mut executor, "look");
+    executor.exit(&job, "PASS", "seen");
+    assert_eq!(peer.answer(3).body, b"seen");
+}
+
+#[test]
+fn malformed_requests_never_reach_the_module() {
+    let site = Site::with(|_| {}, Some(FRONT));
+    let mut executor = site.link();
+    let good = Peer::head("look", None);
+    let without = |name: &str| good.iter().filter(|(n, _)| n != name).cloned().collect::<Vec<_>>();
+    let with = |name: &str, value: &str| [good.clone(), vec![pair(name, value)]].concat();
+    let swapped = [good[4..].to_vec(), good[..4].to_vec()].concat();
+    // By RFC 9113, sections 8.1.1, 8.2 and 8.3: stream errors, before any answer.
+    for (what, list) in [
+        ("an upper-case name", with("X-Upper", "1")),
+        ("a connection header", with("connection", "close")),
+        ("a transfer coding", with("transfer-encoding", "chunked")),
+        ("no method", without(":method")),
+        ("two paths", with(":path", "/do/look")),
+        ("a pseudo-header after others", swapped),
+        ("a length that does not fit", with("content-length", "7")),
+    ] {
+        let mut peer = Peer::connect(&site, &[]);
+        peer.frame(HEADERS, END_HEADERS, 1, &Peer::block(&list));
+        peer.frame(DATA, END_STREAM, 1, b"hello");
+        let frame = peer.next(what, |f| f.kind == RST_STREAM || f.kind == GOAWAY);
+        let code = if frame.kind == GOAWAY { frame.code(4) } else { frame.code(0) };
+        assert_eq!(code, PROTOCOL_ERROR, "{what}");
+    }
+    // What is sound HTTP/2 but no sound request gets the platform's statuses.
+    for (list, status) in [
+        (with("x-deadline-ms", "NaN"), 400),
+        (with("x-org", "acme"), 400),
+        (without("x-correlation-id"), 400),
+        (Peer::head("nonsense", None), 404),
+        (Peer::head("order", None), 400),
+    ] {
+        let mut peer = Peer::connect(&site, &[]);
+        peer.frame(HEADERS, END_HEADERS, 1, &Peer::block(&list));
+        peer.frame(DATA, END_STREAM, 1, b"hello");
+        assert_eq!(peer.answer(1).status, status, "{list:?}");
+    }
+    executor.quiet_but_for(&site, "none");
+}
+
+#[test]
+fn floods_end_their_connection_and_leave_the_worker_serving() {
+    let site = Site::with(|_| {}, Some(FRONT));
+    let mut executor = site.link();
+    // Rapid reset: streams opened and reset without end.
+    let mut peer = Peer::connect(&site, &[]);
+    let flood = |peer: &mut Peer, frames: &dyn Fn(u32) -> Vec<(u8, u8, u32, Vec<u8>)>| {
+        for n in 0..20_000 {
+            for (kind, flags, stream, payload) in frames(n) {
+                let length = &(payload.len() as u32).to_be_bytes()[1..];
+                let bytes = [length, &[kind, flags], &stream.to_be_bytes(), &payload].concat();
+                if peer.stream.write_all(&bytes).is_err() {
+                    return;
+                }
+            }
+        }
+    };
+    flood(&mut peer, &|n| {
+        let block = Peer::block(&Peer::head("nonsense", None));
+        let stream = 2 * n + 1;
+        vec![(HEADERS, END_HEADERS, stream, block), (RST_STREAM, 0, stream, CANCEL.to_be_bytes().to_vec())]
+    });
+    let ended_with =
+        |peer: &mut Peer| std::iter::from_fn(|| peer.read()).find(|f| f.kind == GOAWAY).map(|f| f.code(4));
+    assert_eq!(ended_with(&mut peer), Some(ENHANCE_YOUR_CALM));
+    // A header block without end.
+    let mut endless = Peer::connect(&site, &[]);
+    endless.frame(HEADERS, 0, 1, &Peer::block(&Peer::head("look", None)));
+    flood(&mut endless, &|_| vec![(CONTINUATION, 0, 1, Peer::block(&[pair("x-filler", &"y".repeat(100))]))]);
+    assert_eq!(ended_with(&mut endless), Some(ENHANCE_YOUR_CALM));
+    let mut client = Client::connect(site.http);
+    client.send(&Ask::new("look"));
+    let job = starts(&mut executor, "look");
+    executor.exit(&job, "PASS", "seen");
+    assert_eq!(client.answer().body, b"seen");
+}
+
+#[test]
+fn a_hundred_streams_of_one_connection_leave_routers_their_turn() {
+    let site = Site::with(|c| c["settings"]["domain"]["nCores"] = json!(64), Some(FRONT));
+    let (mut executor, mut peer) = (site.link(), Peer::connect(&site, &[]));
+    for n in 0..40 {
+        peer.ask(2 * n + 1, "look", None, "hello");
+    }
+    let mut client = Client::connect(site.http);
+    client.send(&Ask::new("look"));
+    let jobs: Vec<Value> = (0..41).map(|_| starts(&mut executor, "look")).collect();
+    // Answers in any order.
+    for job in jobs.iter().rev() {
+        executor.exit(job, "PASS", "seen");
+    }
+    assert_eq!(client.answer().body, b"seen");
+    assert!((0..40).all(|n| peer.answer(2 * n + 1).body == b"seen"));
+}
