Hold HTTP/2 sessions against random interleavings, and call over HTTP/2 in the lab

Need: the hard cases of streams come in any order; and HTTP/2 must be measured against HTTP/1.1 at the same rate. Change: a property test drives a session and the library's client over a wire that is cut at will: opened streams, bodies, resets, answers, windows of one byte, a drain. The lab's callers speak HTTP/2 where a variant gives a number of streams a connection. An order reset on its stream is asked for again over AJP too.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -130,6 +130,8 @@
     pub operator: String,
     /// Another build of the worker, for loopback; the one that the command names where left out.
     pub worker: Option<PathBuf>,
+    /// On loopback: callers speak HTTP/2 with so many streams a connection, to the `[http2]` of the operator's file.
+    pub http2_streams: Option<usize>,
 }
 
 /// A bound that must hold for a variant's mean over all seeds.
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod callers;
 pub mod executor;
 pub mod experiment;
+pub mod http2;
 pub mod limits;
 pub mod measure;
 pub mod records;
--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -5,7 +5,8 @@
 
 use crate::callers::{again, draw, Asked};
 use crate::executor::{Executor, Notice, Work};
-use crate::experiment::{Experiment, Variant};
+use crate::experiment::{ClassModel, Experiment, Variant};
+use crate::http2;
 use crate::measure::{End, Play, CROWD_BOUND, CROWD_S};
 use crate::records::Records;
 use base64::engine::general_purpose::STANDARD;
@@ -24,7 +25,7 @@
 /// Callers that can wait for an answer at once; the worker takes fewer connections than that many.
 const CALLERS: usize = 448;
 /// How long a client waits for an answer beyond its deadline before it counts as owed (seconds).
-const PATIENCE_S: f64 = 1.0;
+pub const PATIENCE_S: f64 = 1.0;
 /// How long the worker may take to come up and to leave.
 const START: Duration = Duration::from_secs(10);
 
@@ -32,10 +33,10 @@
 
 /// The play's clock: seconds since the callers start.
 #[derive(Clone, Copy)]
-struct Clock(Instant);
+pub struct Clock(Instant);
 
 impl Clock {
-    fn now(&self) -> f64 {
+    pub fn now(&self) -> f64 {
         Instant::now().saturating_duration_since(self.0).as_secs_f64()
     }
 
@@ -47,7 +48,7 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+pub fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -97,10 +98,16 @@
     let executor = serve_executor(executor_door, experiment, clock, &over);
     serve_records(records_door, experiment, clock, &over);
     let mut child = Worker::start(variant.worker.as_deref().unwrap_or(worker), &config, &variant.operator)?;
-    let address = child.address()?;
+    let address = child.address("http on ")?;
     clock.sleep_until(0.0);
     let ends = Arc::new(Mutex::new(vec![None; asked.len()]));
-    let doors = call(experiment, &asked, clock, address, &ends);
+    let doors = match variant.http2_streams {
+        Some(streams) => {
+            let address = child.address("http2 on ")?;
+            vec![http2::call(experiment, &asked, clock, address, streams, &ends)]
+        }
+        None => call(experiment, &asked, clock, address, &ends),
+    };
     let cpu_before = child.cpu_ms();
     clock.sleep_until(experiment.length_s / 4.0);
     let memory = child.resident_kb();
@@ -169,10 +176,10 @@
         Ok(Worker { child, lines, folder })
     }
 
-    fn address(&mut self) -> Result<SocketAddr, String> {
+    fn address(&mut self, mark: &str) -> Result<SocketAddr, String> {
         loop {
             let line = self.lines.recv_timeout(START).map_err(|_| "the worker did not come up".to_owned())?;
-            if let Some((_, address)) = line.split_once("http on ") {
+            if let Some((_, address)) = line.split_once(mark) {
                 return address.trim().parse().map_err(|_| format!("the worker says {line:?}"));
             }
             if line.starts_with("honeypost: ") {
@@ -456,28 +463,46 @@
     None
 }
 
+/// The platform's fields of one try.
+pub fn fields(a: &Asked, class: &ClassModel, tries: u32, left_s: f64) -> Vec<(&'static str, String)> {
+    let name = NAMES.fetch_add(1, Ordering::Relaxed) | (1 << 60);
+    let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis());
+    let mut fields = vec![
+        ("x-correlation-id", format!("{name:016x}")),
+        ("x-arrived-ms", unix_ms.to_string()),
+        ("x-upstream-peer", "1".to_owned()),
+        ("x-org", "lab".to_owned()),
+        ("x-deadline-ms", format!("{:.0}", left_s * 1000.0)),
+        ("x-need-kb", format!("{:.1}", a.need_kb)),
+        ("x-criticality", "0.5".to_owned()),
+    ];
+    if class.keyed {
+        fields.push(("x-operation-key", format!("k{:08x}", a.number)));
+    }
+    if tries > 1 {
+        fields.push(("x-resent", "1".to_owned()));
+    }
+    fields
+}
+
 fn one_try(
     deadline_s: f64,
     a: &Asked,
     tries: u32,
-    class: &crate::experiment::ClassModel,
+    class: &ClassModel,
     clock: Clock,
     to: SocketAddr,
     connection: &mut Option<BufReader<TcpStream>>,
 ) -> Option<(u16, f64, bool)> {
     let left_s = (a.at + deadline_s - clock.now()).max(0.01);
-    let name = NAMES.fetch_add(1, Ordering::Relaxed) | (1 << 60);
-    let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis());
-    let key = if class.keyed { format!("X-Operation-Key: k{:08x}\r\n", a.number) } else { String::new() };
-    let again = if tries > 1 { "X-Resent: 1\r\n" } else { "" };
     let body = a.work.body();
+    let fields: String = fields(a, class, tries, left_s)
+        .into_iter()
+        .map(|(name, value)| format!("{name}: {value}\r\n"))
+        .collect();
     let head = format!(
-        "POST /do/{} HTTP/1.1\r\nHost: lab\r\nX-Correlation-Id: {name:016x}\r\nX-Arrived-Ms: {unix_ms}\r\n\
-         X-Upstream-Peer: 1\r\nX-Org: lab\r\nX-Deadline-Ms: {:.0}\r\nX-Need-Kb: {:.1}\r\nX-Criticality: 0.5\r\n\
-         {key}{again}Content-Length: {}\r\n\r\n",
+        "POST /do/{} HTTP/1.1\r\nHost: lab\r\n{fields}Content-Length: {}\r\n\r\n",
         class.name,
-        left_s * 1000.0,
-        a.need_kb,
         body.len()
     );
     let bytes = [head.as_bytes(), &body].concat();
--- a/src/net/http2/mod.rs
+++ b/src/net/http2/mod.rs
@@ -6,6 +6,8 @@
 
 mod pipe;
 mod session;
+#[cfg(test)]
+mod tests;
 
 use super::buffer::Filled;
 use super::connections::{Connections, Next, Stage};
--- a/tests/http2.rs
+++ b/tests/http2.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{name, unix_ms, Ask, Client, Executor, Site, PATIENCE};
+use honeypost::net::ajp::{self, Forward, ToWebServer, Way};
 use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -241,7 +242,8 @@
 
 #[test]
 fn a_reset_after_the_run_began_keeps_the_result_for_the_next_try() {
-    let site = Site::with(|_| {}, Some(FRONT));
+    let ajp = "[ajp]\nlisten = \"127.0.0.1:0\"\n[[ajp.route]]\npath = \"/portal/order\"\nclass = \"order\"\n";
+    let site = Site::with(|_| {}, Some(&format!("{FRONT}{ajp}")));
     let (mut executor, mut peer) = (site.link(), Peer::connect(&site, &[]));
     peer.ask(1, "order", Some("k1"), "hello");
     let job = starts(&mut executor, "order");
@@ -252,6 +254,32 @@
     assert_eq!(peer.answer(3).body, b"placed");
     let mut client = Client::connect(site.http);
     assert_eq!(client.ask(&Ask { key: Some("k1"), ..Ask::new("order") }).body, b"placed");
+    assert_eq!(ajp_order(&site, "k1"), b"placed");
+}
+
+/// The result of an order of five bytes that comes over AJP.
+fn ajp_order(site: &Site, key: &str) -> Vec<u8> {
+    let headers: Vec<(&str, &[u8])> =
+        vec![("content-length", b"5"), ("X-Org", b"acme"), ("X-Operation-Key", key.as_bytes())];
+    let (server_name, uri) = ("portal.example", "/portal/order");
+    let f = Forward { method: "POST", uri, server_name, headers, remote_user: None, secret: None };
+    let mut stream = TcpStream::connect(site.ajp.unwrap()).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let bytes = [ajp::write_forward(&f).unwrap(), ajp::write_body(b"hello").unwrap()].concat();
+    stream.write_all(&bytes).unwrap();
+    let mut result = Vec::new();
+    loop {
+        let mut bytes = vec![0; 4];
+        stream.read_exact(&mut bytes).unwrap();
+        bytes.resize(4 + usize::from(u16::from_be_bytes([bytes[2], bytes[3]])), 0);
+        stream.read_exact(&mut bytes[4..]).unwrap();
+        let range = ajp::packet(&bytes, Way::ToWebServer).unwrap().unwrap();
+        match ajp::to_web_server(&bytes[range]).unwrap() {
+            ToWebServer::Chunk(chunk) => result.extend(chunk),
+            ToWebServer::End { .. } => return result,
+            _ => {}
+        }
+    }
 }
 
 #[test]
