--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,7 +29,7 @@
 const HINT_SPAN: f64 = 5.0;
 /// k as a share of the tier's j; the total held, for j, leaves out tiers worth under this share of it.
 const K_OF_J: f64 = 0.6;
-/// A full pool's queue never empties: waits in it stay under this share of what the aim leaves, or runs end late.
+/// A full pool's queue never empties: waits in it take this share of what the aim leaves, or runs end late.
 const POOL_WAIT: f64 = 0.4;
 const TOTAL_WORTH: f64 = 0.4;
 /// Shares of the survivable crowd and of the memory that are used at most.
@@ -487,8 +487,8 @@
         (spent / ended.max(1e-6)).max(1e-6)
     }
 
-    /// Runs a second: the run limit over the time on the cores, call waits apart. With pools, what the pool of
-    /// this class can count on.
+    /// Runs a second: the run limit over the time on the cores, call waits apart. With pools, on what the pool
+    /// of this class can count.
     fn capacity(&self, class: usize) -> f64 {
         match &self.pools {
             Some(pools) => pools.slots(class) / self.length_of(|c| pools.together(c, class)),
