--- a/src/brain.rs
+++ b/src/brain.rs
@@ -487,8 +487,8 @@
         (spent / ended.max(1e-6)).max(1e-6)
     }
 
-    /// Runs a second: the run limit over the time on the cores, call waits apart. With pools, on what the pool
-    /// of this class can count.
+    /// Runs a second: the run limit over the time on the cores, call waits apart. With pools, on what the
+    /// pool of this class can count.
     fn capacity(&self, class: usize) -> f64 {
         match &self.pools {
             Some(pools) => pools.slots(class) / self.length_of(|c| pools.together(c, class)),
