Let the limit's cause follow its evidence, not its changes alone

Need: after a slow time in which the limit stood at its least anyway, its state went on saying slow, and the check on a fresh clone failed for a test that took the limit's height for the end of the brake.

--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -55,7 +55,7 @@
     pub memory_growth: f64,
     /// Processor time of the worker a request (milliseconds); 0 where none was read.
     pub cpu_ms: f64,
-    /// The limit over time, where pools are on: seconds, slots, cause.
+    /// The limit over time, where pools are on: seconds, slots, cause; on loopback as far as the log tells.
     pub limits: Vec<(f64, usize, String)>,
     /// What each pool started and turned away, all tries counted, where pools are on.
     pub pools: Vec<PoolResult>,
--- a/src/pools/estimate.rs
+++ b/src/pools/estimate.rs
@@ -333,7 +333,6 @@
         self.rest = None;
         self.next_look(true);
         self.set(self.bounds.least, Cause::Slow, crowd);
-        self.cause = Cause::Slow;
     }
 
     /// Begins another look; what this one measured is told where it stands for the time.
@@ -467,7 +466,7 @@
             cause => cause,
         };
         // A rest goes under the least limit, and only its own end ends it.
-        if limit != self.limit && self.rest.is_none() {
+        if self.rest.is_none() {
             (self.limit, self.cause) = (limit, cause);
         }
     }
