Tell the jump to 1.6 times as a story over loopback

Change: tests/pools.rs: from seven of ten slots, nine orders more in one step; the cheap class gets its reserve at once and its guarantee with the next ends, and all is served as the jump goes by. Result: it passes; without pools the next order would start in the cheap class's place.

--- a/tests/pools.rs
+++ b/tests/pools.rs
@@ -331,3 +331,33 @@
         "{said}"
     );
 }
+
+#[test]
+fn a_jump_in_one_step_to_one_and_six_tenths_leaves_the_cheap_class_its_part_and_goes_by() {
+    let pools = "[pools]\nleast_slots = 10\nmost_slots = 10\n[pools.reserve]\npool = \"cheap\"\nslots = 1\n\
+        [[pools.pool]]\nname = \"cheap\"\nclasses = [\"look\"]\nguarantee = 0.2\n\
+        [[pools.pool]]\nname = \"heavy\"\nclasses = [\"order\"]\nguarantee = 0.5\n";
+    let site = Site::with(|c| c["settings"]["domain"]["nCores"] = json!(10), Some(pools));
+    let mut executor = site.link();
+    // Seven of ten slots are busy, then nine more orders come in one step: two start, and the rest wait.
+    let mut clients = orders(&site, 0..7);
+    let mut jobs: Vec<Value> = (0..7).map(|_| starts(&mut executor, "order")).collect();
+    clients.extend(orders(&site, 7..16));
+    jobs.extend((0..2).map(|_| starts(&mut executor, "order")));
+    // The cheap class has its reserve at once, and its guarantee with the next two ends, though orders that are worth
+    // five times as much have waited for longer.
+    clients.extend((0..3).map(|_| look(&site)));
+    let mut looks = vec![starts(&mut executor, "look")];
+    for _ in 0..2 {
+        executor.exit(&jobs.remove(0), "PASS", "done");
+        looks.push(starts(&mut executor, "look"));
+    }
+    // And back: all of it is served.
+    looks.iter().for_each(|job| executor.exit(job, "PASS", "seen"));
+    for _ in 0..7 {
+        executor.exit(&jobs.remove(0), "PASS", "done");
+        jobs.push(starts(&mut executor, "order"));
+    }
+    jobs.iter().for_each(|job| executor.exit(job, "PASS", "done"));
+    assert!(clients.iter_mut().all(|c| c.answer().status == 200));
+}
