Answer operators on a console: ready, figures by class, drain and resume

Change: src/net/console.rs on a listener and descriptor budget of its own, looked at before the fronts; src/core/figures.rs counts where the core answers and where it starts a run; a drain makes health and reports bad and touches nothing else. Environment before file; both said in the log.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -192,6 +192,12 @@
     pub executor: SocketAddr,
     pub registry: Option<SocketAddr>,
     pub records: Option<SocketAddr>,
+    /// The operators' address, where there is one.
+    #[serde(default)]
+    pub console: Option<SocketAddr>,
+    /// The console's address in the file, where the environment's went before it.
+    #[serde(skip)]
+    pub console_passed_over: Option<SocketAddr>,
     #[serde(default)]
     pub seed: String,
     #[serde(default = "default_stop_ms")]
@@ -208,7 +214,19 @@
 /// Descriptors that are no client connection: standard streams, the loop's own, listeners, links, spares.
 pub const RESERVED_SOCKETS: usize = 32;
 
+/// Calls that the console keeps open at once, by the limit on descriptors: a small part of what callers have, and
+/// enough that holders can't keep the next call out for long.
+pub fn console_calls(sockets: usize) -> usize {
+    (sockets.saturating_sub(RESERVED_SOCKETS) / 8).clamp(2, 16)
+}
+
 impl Config {
+    /// Descriptors for callers and links: what the limit leaves.
+    pub fn socket_budget(&self) -> usize {
+        let console = self.console.map_or(0, |_| console_calls(self.limits.sockets) + 1);
+        self.limits.sockets - RESERVED_SOCKETS - console
+    }
+
     /// Decodes and checks; an error is one line that names what is wrong.
     pub fn decode(text: &str) -> Result<Config, String> {
         let config: Config = serde_json::from_str(text).map_err(|e| e.to_string())?;
@@ -265,6 +283,7 @@
         let differs = [
             ("name", self.name != old.name),
             ("listen", self.listen != old.listen),
+            ("console", self.console != old.console),
             ("limits", self.limits != old.limits),
             ("settings", self.settings != old.settings),
             ("registry", self.registry.is_some() != old.registry.is_some()),
@@ -284,15 +303,26 @@
 /// A configuration or an operator's file is never so long (bytes).
 const FILE_MOST: u64 = 4 * 1024 * 1024;
 
-/// Where the configuration lies, and the operator's file where there is one.
+/// What the environment names: where the configuration lies, the operator's file where there is one, and the console's
+/// address, which goes before the configuration's.
+#[derive(Clone, Debug, Default)]
 pub struct Files {
     pub config: String,
     pub operator: Option<String>,
+    pub console: Option<String>,
 }
 
 impl Files {
     pub fn config(&self) -> Result<Config, String> {
-        Config::decode(&read(&self.config)?).map_err(|e| format!("{}: {e}", self.config))
+        let mut config = Config::decode(&read(&self.config)?).map_err(|e| format!("{}: {e}", self.config))?;
+        if let Some(text) = &self.console {
+            let address = text.parse().map_err(|_| {
+                format!("ROUTER_CONSOLE: expected an address such as 10.0.0.4:7002, found {text:?}")
+            })?;
+            config.console_passed_over = config.console.filter(|c| *c != address);
+            config.console = Some(address);
+        }
+        Ok(config)
     }
 
     pub fn operator(&self, config: &Config) -> Result<Operator, String> {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! come out in their order. The core sees to it that each request gets one answer, that a key is run once, and
 //! that a call in hand is given up when its run ends.
 
+pub mod figures;
 pub mod keys;
 
 use crate::brain::Controller;
@@ -11,6 +12,7 @@
     Action, Arrival, Class, Effect, Event, Gauges, Outcome, PoolPlan, RequestId, Settings,
 };
 use crate::pools::{Pools, PoolsState};
+use figures::Figures;
 use keys::{KeyName, Keys, Progress};
 use std::collections::hash_map::RandomState;
 use std::collections::{HashMap, VecDeque};
@@ -196,6 +198,7 @@
     doubted: Vec<(f64, RequestId)>,
     /// Requests whose caller has gone before they were started, to be let go.
     gone: Vec<RequestId>,
+    figures: Figures,
 }
 
 impl Core {
@@ -203,6 +206,7 @@
     pub fn new(settings: Settings, born: f64, result_bytes: usize, out: &mut Vec<Command>) -> Self {
         let mut actions = Vec::new();
         let classes = settings.classes.clone();
+        let figures = Figures::new(classes.len());
         let controller = Controller::new(settings, born, &mut actions);
         let mut core = Core {
             controller,
@@ -218,6 +222,7 @@
             classes,
             doubted: Vec::new(),
             gone: Vec::new(),
+            figures,
         };
         core.carry_out(born, &mut VecDeque::new(), out);
         core
@@ -228,7 +233,17 @@
         self.controller.pools().map(Pools::state)
     }
 
-    /// Answers still owed.
+    /// How requests have ended so far, by class.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
+    /// Takes in what was counted before there was a core.
+    pub fn count_earlier(&mut self, earlier: &Figures) {
+        self.figures.add(earlier);
+    }
+
+    /// Answers still owed: requests taken and not yet ended.
     pub fn owed(&self) -> usize {
         self.owed
     }
@@ -324,6 +339,7 @@
                 let Some(held) = self.requests.get_mut(&id) else { return };
                 held.answered = true;
                 self.owed -= 1;
+                self.figures.left(held.request.class);
                 // A run goes on, and its result is kept for the next try.
                 if !held.started {
                     events.push_back(Event::CallerGone(id));
@@ -347,8 +363,7 @@
     fn arrived(&mut self, now: f64, request: Request, out: &mut Vec<Command>) -> Option<Event> {
         // Guards the executor's names: two requests of one name could not be told apart.
         if self.names.contains_key(&request.name) {
-            out.push(Command::Answer(request.ticket, Answer::Conflict));
-            return None;
+            return self.turn_away(&request, Answer::Conflict, out);
         }
         let arrived = now - request.unread_s;
         let key =
@@ -356,14 +371,12 @@
         let print = key.as_ref().map_or(0, |_| self.prints.hash_one(&request.body));
         let repeats = key.as_ref().and_then(|k| self.keys.linked(k, arrived));
         if key.is_some() && repeats.is_none() && self.keys.full() {
-            out.push(Command::Answer(request.ticket, refused()));
-            return None;
+            return self.turn_away(&request, refused(), out);
         }
         // Guards the kept result: all tries of one request carry the same body, so this is another request, and
         // whoever sent it must not be served with what a run made for the first.
         if key.as_ref().is_some_and(|k| repeats.is_some() && self.keys.print(k) != Some(print)) {
-            out.push(Command::Answer(request.ticket, Answer::Conflict));
-            return None;
+            return self.turn_away(&request, Answer::Conflict, out);
         }
         self.next += 1;
         let id = RequestId(self.next);
@@ -392,12 +405,20 @@
         Some(event)
     }
 
+    /// Answers a request that the controller never hears of.
+    fn turn_away(&mut self, request: &Request, answer: Answer, out: &mut Vec<Command>) -> Option<Event> {
+        self.figures.answered(request.class, &answer);
+        out.push(Command::Answer(request.ticket, answer));
+        None
+    }
+
     /// Gives the answer, unless one was given.
     fn answer(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Command>) {
         let Some(held) = self.requests.get_mut(&id).filter(|h| !h.answered) else { return };
         held.answered = true;
         self.owed -= 1;
         self.tickets.remove(&held.request.ticket);
+        self.figures.answered(held.request.class, &answer);
         out.push(Command::Answer(held.request.ticket, answer));
     }
 
@@ -494,6 +515,7 @@
                     held.sent = Some((now, Sent::Run));
                     let body = held.request.body.clone();
                     let (name, class) = (held.request.name.clone(), held.request.class);
+                    self.figures.dispatched(class);
                     out.push(Command::Run { name, class, body, due: held.due });
                 }
                 Action::Refuse { id, stay_away_s, no_other } => {
@@ -939,4 +961,59 @@
             assert!(key_runs.values().all(|n| *n == 1), "seed {seed}: {key_runs:?}");
         }
     }
+
+    mod figures {
+        use super::*;
+        use proptest::prelude::*;
+        use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+        /// Taken = served + refused + failed + in hand, at any instant, whatever happens in whatever order.
+        #[test]
+        fn each_request_is_counted_once_and_at_any_instant() {
+            let config = Config { cases: 60, failure_persistence: None, ..Config::default() };
+            let dice = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+            let step = (0..10u8, 0..60u64, 0..4usize, 1..40u32);
+            let steps = proptest::collection::vec(step, 1..400);
+            let mut runner = TestRunner::new_with_rng(config, dice);
+            let ran = runner.run(&steps, |steps| {
+                let (mut p, mut taken, mut started) = (Play::new(), 0, 0);
+                for (what, number, which, ms) in steps {
+                    p.now += f64::from(ms) / 1000.0;
+                    let some: Rc<str> = format!("r{number}").into();
+                    let outcome = [Outcome::Ok, Outcome::Error, Outcome::TooLate, Outcome::Stopped][which];
+                    let body: Rc<[u8]> = Rc::from(*b"!");
+                    let out = match what {
+                        // Names come again while they are open, keys again and again, now and then with another body.
+                        0..=3 => {
+                            taken += 1;
+                            let mut request = request(number, ["", "a", "b", "c"][which]);
+                            request.ticket = Ticket(taken);
+                            request.patience_s = f64::from(ms) / 10.0;
+                            if number == 7 {
+                                request.body = body;
+                            }
+                            p.tell(Input::Arrived(request))
+                        }
+                        4 => p.tell(Input::Gone(Ticket(number))),
+                        5 => p.tell(Input::NeverRan { name: some }),
+                        6 => p.tell(Input::RunsLost),
+                        7 => p.tell(Input::InDoubt { from: p.now - 0.1, to: p.now + 0.1 }),
+                        8 => p.tell(Input::Woken(Gauges::default())),
+                        _ => p.tell(Input::RunEnded { name: some, outcome, result: Some(body) }),
+                    };
+                    // What is given again after a break is the same run.
+                    started += if what == 7 { 0 } else { runs(&out) as u64 };
+                    let counts = p.core.figures().classes();
+                    let ended: u64 = counts.iter().map(|c| c.ended()).sum();
+                    prop_assert_eq!(taken, ended + p.core.owed() as u64);
+                    prop_assert_eq!(p.core.owed(), p.core.tickets.len());
+                    prop_assert_eq!(started, counts.iter().map(|c| c.dispatches).sum::<u64>());
+                }
+                p.pass(12.0);
+                prop_assert_eq!(p.core.owed(), 0);
+                Ok(())
+            });
+            ran.unwrap();
+        }
+    }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,5 +22,6 @@
         _ => return Err("usage: honeypost [--operator FILE]".to_owned()),
     };
     let config = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG names no file".to_owned())?;
-    net::run(Files { config, operator })
+    let console = std::env::var("ROUTER_CONSOLE").ok().filter(|address| !address.is_empty());
+    net::run(Files { config, operator, console })
 }
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -116,9 +116,9 @@
 
     /// Who is closed first where descriptors run out: those that never asked, half a request included, then those
     /// that are being closed anyway, then those that asked once and rest, then others that are idle.
-    fn rank(&self, now: f64) -> Option<u8> {
+    fn rank(&self, now: f64, silent_s: f64) -> Option<u8> {
         match self.stage {
-            Stage::Idle | Stage::Reading if self.asked == 0 && now - self.opened >= SILENT_S => Some(0),
+            Stage::Idle | Stage::Reading if self.asked == 0 && now - self.opened >= silent_s => Some(0),
             Stage::Closing => Some(1),
             // Just accepted and not looked at yet: its request may be there.
             Stage::Idle if self.asked == 0 => (now > self.opened).then_some(3),
@@ -144,6 +144,7 @@
     room: usize,
     all: HashMap<u64, Connection<P>>,
     touched: Vec<u64>,
+    silent_s: f64,
 }
 
 impl<P: Default> Connections<P> {
@@ -163,9 +164,15 @@
             room,
             all: HashMap::new(),
             touched: Vec::new(),
+            silent_s: SILENT_S,
         })
     }
 
+    /// Whoever comes takes the place of the oldest that has not asked in whole, however young that is.
+    pub fn prefer_newest(&mut self) {
+        self.silent_s = 0.0;
+    }
+
     /// Where it listens, by the system's word.
     pub fn address(&self) -> Option<SocketAddr> {
         self.acceptor.as_ref().and_then(|a| a.address().ok())
@@ -278,7 +285,7 @@
     /// accepted is looked at before a connection of the last rank goes.
     fn make_room(&mut self, now: f64) -> Room {
         let unseen = self.all.values().any(|c| c.opened == now);
-        let ranked = self.all.iter().filter_map(|(id, c)| Some((c.rank(now)?, c.since, *id)));
+        let ranked = self.all.iter().filter_map(|(id, c)| Some((c.rank(now, self.silent_s)?, c.since, *id)));
         match ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))) {
             Some((LAST_RANK, ..)) | None if unseen => Room::Later,
             Some((.., id)) => {
--- a/src/net/executor.rs
+++ b/src/net/executor.rs
@@ -115,6 +115,11 @@
         self.welcome
     }
 
+    /// Whether a link stands.
+    pub fn linked(&self) -> bool {
+        self.link.is_some()
+    }
+
     /// The gauges, unless they are stale.
     pub fn gauges(&self, now: f64) -> Gauges {
         self.gauges.filter(|(at, _)| now - at < GAUGES_KEEP_S).map_or(Gauges::default(), |(_, g)| g)
--- a/src/net/http2/session.rs
+++ b/src/net/http2/session.rs
@@ -206,7 +206,7 @@
                     let mut stream = Stream { respond, stage: Stage::Asked, since: clock.now() };
                     match read_head(&head, state) {
                         Ok((Target::Check, _)) => {
-                            let good = state.fit && !state.leaving;
+                            let good = state.good();
                             stream.say(
                                 if good { 200 } else { 503 },
                                 if good { "good\n" } else { "bad\n" },
--- a/src/net/http2/tests.rs
+++ b/src/net/http2/tests.rs
@@ -80,7 +80,7 @@
         World {
             waker,
             clock: Clock::new(),
-            state: State { known, level: Some(1.0), fit: true, leaving: false },
+            state: State { known, level: Some(1.0), fit: true, leaving: false, draining: false },
             session: Session::new(&http2),
             wire,
             client,
--- a/src/net/http_front.rs
+++ b/src/net/http_front.rs
@@ -86,7 +86,7 @@
                 Parsed::Check { length, keep } => {
                     c.link.consume(length);
                     c.close = !keep || state.leaving;
-                    let answer = if state.fit && !state.leaving {
+                    let answer = if state.good() {
                         simple(200, "OK", "good\n", "", state, c.close)
                     } else {
                         simple(503, "Service Unavailable", "bad\n", "", state, c.close)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod ajp_front;
 pub mod buffer;
 pub mod connections;
+pub mod console;
 pub mod directory;
 pub mod executor;
 pub mod fields;
@@ -18,7 +19,8 @@
 pub mod registry;
 pub mod wheel;
 
-use crate::config::{Config, Files, Operator, RESERVED_SOCKETS};
+use crate::config::{Config, Files, Operator};
+use crate::core::figures::Figures;
 use crate::core::{Answer, Command, Core, Input, Ticket};
 use crate::interface::{Outcome, Settings};
 use ajp_backend::AjpBackend;
@@ -26,6 +28,7 @@
 use calloop::signals::{Signal, Signals};
 use calloop::timer::{TimeoutAction, Timer as LoopTimer};
 use calloop::{EventLoop, RegistrationToken};
+use console::{Call, Console};
 use directory::Directory;
 use executor::{Executor, Welcome};
 use fields::Catalogue;
@@ -132,7 +135,17 @@
     pub level: Option<f64>,
     /// What health checks are told.
     pub fit: bool,
+    /// The notice to leave has come.
     pub leaving: bool,
+    /// Operators have asked for clients to be sent away; everything that comes is still decided as ever.
+    pub draining: bool,
+}
+
+impl State {
+    /// What health checks and the registry are told.
+    pub fn good(&self) -> bool {
+        self.fit && !self.leaving && !self.draining
+    }
 }
 
 /// The notice to leave, as this loop follows it.
@@ -155,6 +168,9 @@
     state: State,
     healthy: bool,
     idle_s: f64,
+    console: Option<Console>,
+    /// What was turned away before there was a core.
+    early: Figures,
     http: HttpFront,
     ajp: Option<AjpFront>,
     http2: Option<Http2Front>,
@@ -188,7 +204,7 @@
         .map_err(|e| format!("signals: {e}"))?;
     let config = files.config()?;
     let mut timer_token: Option<RegistrationToken> = None;
-    let poll = Poll::new(handle.clone(), config.limits.sockets - RESERVED_SOCKETS);
+    let poll = Poll::new(handle.clone(), config.socket_budget());
     let mut worker = Worker::new(files, config, &poll)?;
     let mut gathered = Gathered::default();
     let mut armed = None;
@@ -224,6 +240,10 @@
         settings.entry_kb = 0.0;
         settings.pools = operator.pools.as_ref().map(|p| p.plan(&config.settings)).transpose()?;
         let known = Rc::new(Catalogue::new(&config.settings, &settings));
+        let sockets = config.limits.sockets;
+        let bind =
+            |address| Console::bind(poll, address, sockets).map_err(|e| format!("console {address}: {e}"));
+        let console = config.console.map(bind).transpose()?;
         let http = HttpFront::bind(poll, config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
         let executor = Executor::new(poll, config.executor, config.settings.domain.own_stats.clone());
         let by = operator.directory.as_ref().map(|d| d.identity);
@@ -250,6 +270,7 @@
         };
         let mut log = Log::default();
         for (front, address) in [
+            ("console", console.as_ref().and_then(|c| c.connections.address())),
             ("http", http.connections.address()),
             ("ajp", ajp.as_ref().and_then(|a| a.connections.address())),
             ("http2", http2.as_ref().and_then(|h| h.connections.address())),
@@ -258,12 +279,15 @@
                 log.line(&format!("{}: {front} on {address}", config.name));
             }
         }
+        if let Some(address) = config.console_passed_over {
+            log.line(&format!("console: ROUTER_CONSOLE goes before the configuration's {address}"));
+        }
         let mut wheel = Wheel::new(clock.now());
         wheel.set(clock.now(), SWEEP_S, Timer::Sweep);
         Ok(Worker {
             records: config.records.map(|to| Records::new(poll, to)),
             idle_s: settings.idle_s.max(1.0),
-            state: State { known, level: None, fit: false, leaving: false },
+            state: State { known, level: None, fit: false, leaving: false, draining: false },
             healthy: true,
             core: None,
             leaving: None,
@@ -278,7 +302,9 @@
             files,
             config,
             operator,
+            early: Figures::new(settings.classes.len()),
             settings,
+            console,
             http,
             ajp,
             http2,
@@ -294,6 +320,16 @@
         self.log.at(now);
         for (place, readable, writable) in gathered.take() {
             match place {
+                Place::ConsoleListener => {
+                    if let Some(c) = &mut self.console {
+                        c.connections.mark_listener();
+                    }
+                }
+                Place::Console(id) => {
+                    if let Some(c) = &mut self.console {
+                        c.connections.mark(id, readable, writable);
+                    }
+                }
                 Place::HttpListener => self.http.connections.mark_listener(),
                 Place::Http(id) => self.http.connections.mark(id, readable, writable),
                 Place::AjpListener => {
@@ -375,6 +411,7 @@
     /// Whether something waits that the loop will not tell of.
     fn pending(&self) -> bool {
         self.http.connections.pending()
+            || self.console.as_ref().is_some_and(|c| c.connections.pending())
             || self.ajp.as_ref().is_some_and(|a| a.connections.pending())
             || self.http2.as_ref().is_some_and(|h| h.connections.pending())
             || self.servers.as_ref().is_some_and(AjpBackend::pending)
@@ -384,6 +421,7 @@
     /// Takes in all that is ready: outcomes first, which make room for what arrives.
     fn gather(&mut self, inputs: &mut Vec<Input>) {
         let now = self.clock.now();
+        let mut paused = self.serve_console(now);
         match &mut self.servers {
             Some(servers) => servers.gather(now, &self.state.known, inputs, &mut self.wheel, &mut self.log),
             None => self.executor.gather(now, inputs, &mut self.log),
@@ -400,7 +438,7 @@
         if let Some(records) = &mut self.records {
             records.gather(now, inputs, &mut self.wheel, &mut self.log);
         }
-        let mut paused = self.http.gather(&self.clock, &self.state, inputs);
+        paused |= self.http.gather(&self.clock, &self.state, inputs);
         if let Some(http2) = &mut self.http2 {
             paused |= http2.gather(&self.clock, &self.state, inputs);
         }
@@ -425,11 +463,62 @@
         }
     }
 
+    /// Answers what operators ask, before any front is looked at; `true` if accepting was broken off.
+    fn serve_console(&mut self, now: f64) -> bool {
+        let Some(console) = &mut self.console else { return false };
+        let mut calls = Vec::new();
+        let paused = console.gather(now, &mut calls);
+        for (id, call) in calls {
+            let reply = self.operators_call(call);
+            if let Some(console) = &mut self.console {
+                console.answer(id, now, &reply);
+            }
+        }
+        paused
+    }
+
+    fn operators_call(&mut self, call: Call) -> console::Reply {
+        let linked = self.servers.is_some() || self.executor.linked();
+        match call {
+            Call::Ready if self.state.leaving => console::Reply::new(503, "leaving\n"),
+            Call::Ready if self.core.is_none() || !linked => {
+                console::Reply::new(503, "no link to the executor\n")
+            }
+            Call::Ready => console::Reply::new(200, "ready\n"),
+            Call::Metrics => {
+                let (counts, concurrent) =
+                    self.core.as_ref().map_or((&self.early, 0), |core| (core.figures(), core.owed()));
+                console::Reply::new(200, console::figures(&self.state.known, counts, concurrent))
+            }
+            Call::Drain => {
+                self.drain(true);
+                console::Reply::new(200, "draining\n")
+            }
+            Call::Resume => {
+                self.drain(false);
+                console::Reply::new(
+                    200,
+                    if self.state.leaving { "leaving all the same\n" } else { "serving\n" },
+                )
+            }
+        }
+    }
+
+    /// Sends clients away, or lets them come again: health and reports change at once, decisions don't.
+    fn drain(&mut self, on: bool) {
+        if self.state.draining != on {
+            self.state.draining = on;
+            self.log.line(if on { "console: draining" } else { "console: the drain has ended" });
+            self.beat(false);
+        }
+    }
+
     /// There is no core before the executor is up: what arrives all the same is turned away, as nothing ran.
     fn turn_away(&mut self, now: f64, inputs: &mut Vec<Input>) {
         for input in inputs.drain(..) {
             if let Input::Arrived(request) = input {
                 let answer = Answer::Refused { stay_away_s: NOT_UP_S, no_other: false };
+                self.early.answered(request.class, &answer);
                 self.answer(now, request.ticket, answer);
             }
         }
@@ -461,6 +550,7 @@
         let mut commands = Vec::new();
         // The controller's time begins now, not with the executor: a past start made its first run look hung.
         let mut core = Core::new(settings, now, room as usize, &mut commands);
+        core.count_earlier(&self.early);
         if let Some(leaving) = &self.leaving {
             let in_s = leaving.stop - now;
             core.handle(now, [Input::Leave { in_s }], &mut commands);
@@ -511,7 +601,7 @@
 
     /// Reports to the registry once the executor is up: the list takes `draining` for "no work, please".
     fn beat(&mut self, due: bool) {
-        let ready = self.state.fit && !self.state.leaving;
+        let ready = self.state.good();
         if let Some(registry) = self.registry.as_mut().filter(|_| self.core.is_some()) {
             registry.beat(ready, due);
         }
@@ -658,6 +748,9 @@
     }
 
     fn sweep_fronts(&mut self, now: f64, leaving: bool) {
+        if let Some(console) = &mut self.console {
+            console.connections.sweep(now, self.idle_s, false);
+        }
         self.http.connections.sweep(now, self.idle_s, leaving);
         if let Some(ajp) = &mut self.ajp {
             ajp.connections.sweep(now, self.idle_s, leaving);
--- a/src/net/poll.rs
+++ b/src/net/poll.rs
@@ -24,6 +24,8 @@
 /// Whose socket is ready.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Place {
+    ConsoleListener,
+    Console(u64),
     HttpListener,
     AjpListener,
     Http2Listener,
@@ -68,6 +70,12 @@
         Poll { handle, left: Rc::new(Cell::new(descriptors)), next: Rc::new(Cell::new(1)) }
     }
 
+    /// The same loop with a budget of its own: a listener and so many callers, whatever the others hold.
+    pub fn apart(&self, callers: usize) -> Poll {
+        let left = Rc::new(Cell::new(KEPT_BACK + 1 + callers));
+        Poll { handle: self.handle.clone(), left, next: self.next.clone() }
+    }
+
     /// Whether the budget allows one more socket.
     pub fn room(&self) -> bool {
         self.left.get() > 0
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -62,6 +62,7 @@
     child: Child,
     lines: Receiver<String>,
     pub log: Vec<String>,
+    pub console: Option<SocketAddr>,
     pub http: SocketAddr,
     pub ajp: Option<SocketAddr>,
     pub http2: Option<SocketAddr>,
@@ -138,6 +139,7 @@
             child,
             lines,
             log: Vec::new(),
+            console: None,
             http: nowhere,
             ajp: None,
             http2: None,
@@ -147,6 +149,9 @@
             config,
             folder,
         };
+        if site.config.get("console").is_some() {
+            site.console = Some(site.address("console on "));
+        }
         site.http = site.address("http on ");
         site.ajp = operator.filter(|o| o.contains("[ajp]")).map(|_| site.address("ajp on "));
         site.http2 = operator.filter(|o| o.contains("[http2]")).map(|_| site.address("http2 on "));
@@ -204,6 +209,28 @@
         }
     }
 
+    /// One call of the console: its status and text.
+    pub fn call(&self, method: &str, path: &str) -> (u16, String) {
+        let mut client = Client::connect(self.console.expect("a console"));
+        client.write(&format!("{method} {path} HTTP/1.1\r\nHost: n1\r\n\r\n"));
+        let reply = client.answer();
+        assert_eq!(reply.header("Connection"), Some("close"));
+        (reply.status, String::from_utf8(reply.body).unwrap())
+    }
+
+    /// One figure of the console.
+    pub fn figure(&self, name: &str) -> u64 {
+        let (status, text) = self.call("GET", "/-/metrics");
+        assert_eq!(status, 200);
+        let value = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix('='));
+        value.unwrap_or_else(|| panic!("no {name} in {text}")).parse().unwrap()
+    }
+
+    /// The status of a health check.
+    pub fn health(&self) -> u16 {
+        Client::connect(self.http).ask_check()
+    }
+
     pub fn terminate(&self) {
         self.signal("TERM");
     }
