--- a/lab/src/virtual_time.rs
+++ b/lab/src/virtual_time.rs
@@ -218,7 +218,7 @@
                     self.executor.resume(&name, true);
                 }
                 Command::WakeIn(after) => self.wake = now + after,
-                Command::Health(_) | Command::Publish(_) | Command::Log(_) => {}
+                Command::Health(_) | Command::Publish(_) | Command::Log(_) | Command::Key(_) => {}
             }
         }
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,8 +5,8 @@
 //! reaches j or what is held above it reaches k. Where this departs, the comment says what trouble it is for.
 
 use crate::interface::{
-    Action, Arrival, Class, Dependency, Effect, Event, Gauges, Halting, Outcome, PoolPlan, RequestId,
-    Settings, Signal,
+    Action, Arrival, Class, Dependency, Effect, Event, Gauges, Halting, Learned, Outcome, PoolPlan,
+    RequestId, Settings, Signal,
 };
 use crate::pools::{Place, Pools};
 use std::collections::{BTreeMap, BTreeSet};
@@ -352,6 +352,8 @@
     fit: bool,
     /// Where an operator set up pools they say which class may start, and how many runs there are.
     pools: Option<Pools>,
+    /// Of a process that leaves its place to this one: runs on the cores, calls in hand, memory.
+    beside: (usize, usize, f64),
 }
 
 impl Controller {
@@ -401,6 +403,8 @@
             Event::Leave { in_s } => self.leave = Some((now, now + in_s)),
             Event::Woken(gauges) => self.woken(&gauges, out),
             Event::Pools(plan) => self.set_pools(plan),
+            Event::Beside { on_cores, calling, kb } => self.beside = (on_cores, calling, kb),
+            Event::Learned(learned) => self.learn(learned),
         }
         self.clear_hold(out);
         let (sick, swamped) = (self.sickness.sick, self.sickness.swamped);
@@ -427,6 +431,23 @@
         self.pools.as_ref()
     }
 
+    /// What a successor on this machine should know.
+    pub fn learned(&self) -> Learned {
+        let paces = self.pace.iter().map(|p| (p.spent, p.ended, p.hinted)).collect();
+        let (runs, usual_s, c) = (self.limit.runs, self.usual, &self.call_bound);
+        let call_s = if c.shortest.is_finite() { c.shortest } else { 0.0 };
+        Learned { runs, usual_s, paces, call_room: c.room, call_s, calls: c.lately }
+    }
+
+    fn learn(&mut self, l: Learned) {
+        (self.limit.runs, self.usual) = (l.runs.min(self.crowd_limit()).max(self.limit.runs), l.usual_s);
+        let taught = self.pace.iter_mut().zip(l.paces);
+        taught.for_each(|(p, (spent, ended, hinted))| (p.spent, p.ended, p.hinted) = (spent, ended, hinted));
+        let c = &mut self.call_bound;
+        (c.room, c.lately) = (l.call_room.min(c.top.max(1.0)), l.calls);
+        c.shortest = if l.call_s > 0.0 { l.call_s } else { f64::INFINITY };
+    }
+
     /// Requests that no later event or action of this controller will name.
     pub fn take_released(&mut self) -> Vec<RequestId> {
         std::mem::take(&mut self.released)
@@ -447,9 +468,7 @@
     fn advance(&mut self, now: f64) {
         let dt = (now - self.now).max(0.0);
         self.now = self.now.max(now);
-        if let Some(pools) = &mut self.pools {
-            pools.advance(dt);
-        }
+        self.pools.iter_mut().for_each(|pools| pools.advance(dt));
         self.pace.iter_mut().zip(&self.on_cores).for_each(|(pace, n)| pace.advance(*n as f64, dt));
         self.call_bound.advance(self.calling as f64, dt);
         if let Some(dep) = &self.set.dependency {
@@ -502,7 +521,7 @@
     }
 
     fn running(&self) -> usize {
-        self.on_cores.iter().sum()
+        self.on_cores.iter().sum::<usize>() + self.beside.0
     }
 
     fn parked(&self) -> usize {
@@ -510,7 +529,7 @@
     }
 
     fn memory(&self) -> f64 {
-        self.held_kb + self.run_kb + self.entries.len() as f64 * self.set.entry_kb
+        self.held_kb + self.run_kb + self.entries.len() as f64 * self.set.entry_kb + self.beside.2
     }
 
     fn class(&self, class: usize) -> &Class {
@@ -717,9 +736,7 @@
     fn refuse(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         let (leads, stay_away_s) = (self.leads(id), self.advice(r.tier, r.class));
-        if let Some(pools) = &mut self.pools {
-            pools.turned_away(self.requests[&id].class);
-        }
+        self.pools.iter_mut().for_each(|pools| pools.turned_away(self.requests[&id].class));
         let no_other = !self.sickness.sick && self.fleet_full();
         out.push(Action::Refuse { id, stay_away_s, no_other });
         self.drop_request(id);
@@ -759,9 +776,8 @@
         r.stage = to.unwrap_or(from);
         r.on_cores += if from == Stage::Running { self.now - r.since } else { 0.0 };
         r.since = self.now;
-        if let Some(pools) = &mut self.pools {
-            pools.moved(r.class, from.place(), to.and_then(Stage::place));
-        }
+        let places = (from.place(), to.and_then(Stage::place));
+        self.pools.iter_mut().for_each(|pools| pools.moved(r.class, places.0, places.1));
         for (stage, enters) in [(Some(from), false), (to, true)] {
             let sign = if enters { 1.0 } else { -1.0 };
             let one = |n: &mut usize| *n = if enters { *n + 1 } else { n.saturating_sub(1) };
@@ -806,9 +822,7 @@
         if r.stage == Stage::Running && outcome != Outcome::TooLate {
             let length = r.on_cores + self.now - r.since;
             self.pace[r.class].has_ended(r.hint, length);
-            if let Some(pools) = &mut self.pools {
-                pools.run_ended(r.class, length);
-            }
+            self.pools.iter_mut().for_each(|pools| pools.run_ended(r.class, length));
             if outcome != Outcome::Stopped {
                 self.sickness.run_ended(self.now, outcome == Outcome::Error);
                 self.limit.ended += 1;
@@ -916,7 +930,8 @@
         let open = self.now >= self.call_bound.shut_until;
         // What was given up is no crowd that slows the rest, but counts for what is survived.
         let (room, most) = (self.call_bound.room.max(1.0) as usize, self.call_bound.top.max(1.0) as usize);
-        while open && self.calling < room && self.calling + self.lingering.len() < most {
+        let beside = self.beside.1;
+        while open && self.calling + beside < room && self.calling + beside + self.lingering.len() < most {
             let next = self.parked.iter().flatten().find(|id| !self.requests[id].settled);
             let Some(&id) = next else { return };
             // One that never answers must not hold its slot, nor what can go on without, until nobody waits.
@@ -976,7 +991,7 @@
     }
 
     fn next_to_start(&mut self) -> Option<RequestId> {
-        let (crowd, mut pools) = (self.crowd_limit(), self.pools.take());
+        let (crowd, mut pools) = (self.crowd_limit().saturating_sub(self.beside.0), self.pools.take());
         let can = |r: &Request, c: &Class| !c.calls || c.skipped_worth > 0.0 || !self.call_jam(r.tier);
         let fits = |id: &&RequestId| can(&self.requests[*id], self.class(self.requests[*id].class));
         let mut held = self.hold.iter().flatten().filter(fits).copied();
@@ -1017,7 +1032,7 @@
         let gone: Vec<RequestId> = self.entries.iter().filter(|(_, e)| over(e)).map(|(id, _)| *id).collect();
         gone.into_iter().for_each(|id| self.drop_entry(id));
         self.call_bound.look(self.parked.iter().any(|q| !q.is_empty()));
-        self.sickness.nothing_ended(self.now, self.running(), self.run_length());
+        self.sickness.nothing_ended(self.now, self.running() - self.beside.0, self.run_length());
         // A core is free: nothing lies unread. Off the list, without arrivals, it would not be learnt else.
         if gauges.runnable.is_some_and(|n| n < f64::from(self.set.cores)) {
             (self.sickness.unread, self.sickness.swamped) = (0.0, false);
@@ -1042,9 +1057,7 @@
             self.limit.runs -= 1;
         }
         self.limit.runs = self.limit.runs.min(self.crowd_limit()).max(floor);
-        if let Some(pools) = &self.pools {
-            self.limit.runs = pools.limit();
-        }
+        self.limit.runs = self.pools.as_ref().map_or(self.limit.runs, Pools::limit);
         self.usual = yardstick(self.usual, self.run_length());
         (self.limit.ended_before, self.limit.ended) = (self.limit.ended, 0);
         self.limit.ends = self.now + LIMIT_WINDOW_S;
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -310,6 +310,10 @@
     pub config: String,
     pub operator: Option<String>,
     pub console: Option<String>,
+    /// The number of the listening socket that this process inherits, where it does.
+    pub socket: Option<String>,
+    /// The folder that this process shares with the one before it.
+    pub folder: Option<String>,
 }
 
 impl Files {
--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -18,7 +18,7 @@
 }
 
 /// Where the run of a key stands.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Progress {
     /// Its holder has not ended.
     Open,
@@ -36,10 +36,24 @@
     print: u64,
     pub progress: Progress,
     expires: f64,
+    /// Its run was begun by another process, which tells how it ends.
+    pub elsewhere: bool,
     /// Tries that get what the holder gets.
     pub waiting: Vec<RequestId>,
 }
 
+/// What one process tells another of a key that may have run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeyNews {
+    pub name: KeyName,
+    /// Stands for the body that came with it.
+    pub print: u64,
+    /// Until when it links tries (loop's clock, seconds).
+    pub until: f64,
+    /// Absent where it turned out that its run never began.
+    pub progress: Option<Progress>,
+}
+
 /// All keys, with a bound on the bytes of kept results.
 pub struct Keys {
     entries: HashMap<KeyName, Entry>,
@@ -96,11 +110,62 @@
             print,
             progress: Progress::Open,
             expires,
+            elsewhere: false,
             waiting: Vec::new(),
         });
         (entry.holder, entry.print, entry.expires) = (holder, print, expires);
     }
 
+    /// All that is known of a key, for another process.
+    pub fn news(&self, name: &KeyName) -> KeyNews {
+        let entry = self.entries.get(name);
+        KeyNews {
+            name: name.clone(),
+            print: entry.map_or(0, |e| e.print),
+            until: entry.map_or(0.0, |e| e.expires),
+            progress: entry.map(|e| e.progress.clone()),
+        }
+    }
+
+    /// All keys, in an order of their own.
+    pub fn names(&self) -> impl Iterator<Item = &KeyName> {
+        self.entries.keys()
+    }
+
+    /// Tries that wait for the end of a run.
+    pub fn waiting(&self) -> impl Iterator<Item = RequestId> + '_ {
+        self.entries.values().flat_map(|e| e.waiting.iter().copied())
+    }
+
+    /// Keys whose run another process has begun and not told the end of, with their holders.
+    pub fn open_elsewhere(&self) -> Vec<(KeyName, RequestId)> {
+        let open = self.entries.iter().filter(|(_, e)| e.elsewhere && e.progress == Progress::Open);
+        let mut open: Vec<_> = open.map(|(name, e)| (name.clone(), e.holder)).collect();
+        open.sort_unstable_by_key(|(_, holder)| *holder);
+        open
+    }
+
+    /// Takes up a key of another process under a holder that no request here has. One that is known here stays.
+    pub fn adopt(&mut self, news: &KeyNews, holder: RequestId) {
+        let Some(progress) = news.progress.clone().filter(|_| !self.entries.contains_key(&news.name)) else {
+            return;
+        };
+        self.remember(&news.name, holder, news.print, news.until);
+        if let Some(entry) = self.entries.get_mut(&news.name) {
+            entry.elsewhere = true;
+        }
+        match progress {
+            Progress::Open => {}
+            Progress::Served(None) => {
+                if let Some(entry) = self.entries.get_mut(&news.name) {
+                    entry.progress = Progress::Served(None);
+                }
+            }
+            Progress::Served(result) => drop(self.ended(&news.name, holder, result)),
+            Progress::Failed => drop(self.ended(&news.name, holder, None)),
+        }
+    }
+
     /// Takes the key of a request that never ran from the table. An entry whose run has ended stays: a
     /// result that is gone while its window lasts would let a second run in.
     pub fn forget(&mut self, name: &KeyName, holder: RequestId) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,17 +6,18 @@
 
 pub mod figures;
 pub mod keys;
+mod lending;
 
 use crate::brain::Controller;
+use crate::handover::Doubt;
 use crate::interface::{
-    Action, Arrival, Class, Effect, Event, Gauges, Outcome, PoolPlan, RequestId, Settings,
+    Action, Arrival, Class, Effect, Event, Gauges, Learned, Outcome, PoolPlan, RequestId, Settings,
 };
 use crate::pools::{Pools, PoolsState};
 use figures::Figures;
-use keys::{KeyName, Keys, Progress};
-use std::collections::hash_map::RandomState;
-use std::collections::{HashMap, VecDeque};
-use std::hash::BuildHasher;
+use keys::{KeyName, KeyNews, Keys, Progress};
+pub use lending::{Lent, LentRequest};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 /// Where an answer is owed: handed back unread to the front that gave it.
@@ -103,6 +104,17 @@
     Woken(Gauges),
     /// The operator's pools are others from now on, or none.
     Pools(Option<PoolPlan>),
+    /// What the process before this one says of a key that may have run.
+    Key(KeyNews),
+    /// It has ended: what it said of open keys is its last word, and it uses nothing any more.
+    PredecessorGone,
+    /// What it uses now of what both count as their own.
+    Beside {
+        on_cores: usize,
+        calling: usize,
+        kb: f64,
+    },
+    Learned(Learned),
 }
 
 /// What is to be done, in this order.
@@ -135,6 +147,8 @@
     Publish(f64),
     WakeIn(f64),
     Log(String),
+    /// The process that has taken this one's place should know.
+    Key(KeyNews),
 }
 
 /// A run that its backend has gone silent on holds its slot for this long after its due time (seconds).
@@ -188,7 +202,8 @@
     /// Answers owed, by where.
     tickets: HashMap<Ticket, RequestId>,
     keys: Keys,
-    prints: RandomState,
+    /// What bodies are hashed with; the same in a process and its successor.
+    prints: (u64, u64),
     next: u64,
     owed: usize,
     actions: Vec<Action>,
@@ -199,6 +214,17 @@
     /// Requests whose caller has gone before they were started, to be let go.
     gone: Vec<RequestId>,
     figures: Figures,
+    run_factor: f64,
+    marks_retries: bool,
+    /// What is to be believed of keys that are not known here.
+    doubt: Doubt,
+    /// Names of requests that run in the process before this one.
+    elsewhere: HashSet<Rc<str>>,
+    /// What the process before this one uses: runs, calls, memory.
+    beside: (usize, usize, f64),
+    /// Another process has this one's place: it is told of keys, those named here next.
+    lent: bool,
+    key_news: Vec<KeyName>,
 }
 
 impl Core {
@@ -207,6 +233,8 @@
         let mut actions = Vec::new();
         let classes = settings.classes.clone();
         let figures = Figures::new(classes.len());
+        let (run_factor, marks_retries) = (settings.run_factor, settings.marks_retries);
+        let prints = (settings.seed, !settings.seed);
         let controller = Controller::new(settings, born, &mut actions);
         let mut core = Core {
             controller,
@@ -214,7 +242,7 @@
             names: HashMap::new(),
             tickets: HashMap::new(),
             keys: Keys::new(result_bytes, (result_bytes / BYTES_A_KEY).max(KEYS_LEAST)),
-            prints: RandomState::new(),
+            prints,
             next: 0,
             owed: 0,
             actions,
@@ -223,6 +251,13 @@
             doubted: Vec::new(),
             gone: Vec::new(),
             figures,
+            run_factor,
+            marks_retries,
+            doubt: Doubt::None,
+            elsewhere: HashSet::new(),
+            beside: (0, 0, 0.0),
+            lent: false,
+            key_news: Vec::new(),
         };
         core.carry_out(born, &mut VecDeque::new(), out);
         core
@@ -269,6 +304,7 @@
             self.keys.sweep(now);
             self.drop_silent_runs(now, out);
         }
+        self.tell_keys(out);
         // Only requests that have ended everywhere leave the controller; their numbers are never used again.
         self.controller.take_released();
     }
@@ -357,19 +393,31 @@
             Input::Leave { in_s } => events.push_back(Event::Leave { in_s }),
             Input::Woken(gauges) => events.push_back(Event::Woken(gauges)),
             Input::Pools(plan) => events.push_back(Event::Pools(plan)),
+            Input::Key(news) => self.adopt_key(&news, events, out),
+            Input::PredecessorGone => self.predecessor_gone(events, out),
+            Input::Beside { on_cores, calling, kb } => {
+                self.beside = (on_cores, calling, kb);
+                events.push_back(Event::Beside { on_cores, calling, kb });
+            }
+            Input::Learned(learned) => events.push_back(Event::Learned(learned)),
         }
     }
 
     fn arrived(&mut self, now: f64, request: Request, out: &mut Vec<Command>) -> Option<Event> {
         // Guards the executor's names: two requests of one name could not be told apart.
-        if self.names.contains_key(&request.name) {
+        if self.names.contains_key(&request.name) || self.elsewhere.contains(&request.name) {
             return self.turn_away(&request, Answer::Conflict, out);
         }
         let arrived = now - request.unread_s;
         let key =
             request.key.clone().map(|key| KeyName { class: request.class, tenant: request.tenant, key });
-        let print = key.as_ref().map_or(0, |_| self.prints.hash_one(&request.body));
+        let print = key.as_ref().map_or(0, |_| self.print(&request.body));
         let repeats = key.as_ref().and_then(|k| self.keys.linked(k, arrived));
+        // Guards the one run of a key: not refused either, since it may have had its run.
+        let further = request.retry || !self.marks_retries;
+        if key.is_some() && repeats.is_none() && self.doubt.covers(arrived, further) {
+            return self.turn_away(&request, Answer::Failed, out);
+        }
         if key.is_some() && repeats.is_none() && self.keys.full() {
             return self.turn_away(&request, refused(), out);
         }
@@ -449,7 +497,9 @@
         self.remove(id);
         events.push_back(Event::RunEnded { id, outcome });
         let Some(key) = key else { return };
-        for other in self.keys.ended(&key, id, result.clone()) {
+        let waiting = self.keys.ended(&key, id, result.clone());
+        self.key_news.push(key);
+        for other in waiting {
             if self.requests.contains_key(&other) {
                 self.answer(other, answer(&result), out);
                 self.remove(other);
@@ -475,6 +525,7 @@
                 over.append(&mut entry.waiting);
             }
             self.keys.forget(&key, id);
+            self.key_news.push(key);
         }
         for id in over.into_iter().filter(|id| self.requests.contains_key(id)).collect::<Vec<_>>() {
             self.answer(id, answer.clone(), out);
@@ -510,7 +561,11 @@
         for action in actions.drain(..) {
             match action {
                 Action::Start(id) => {
-                    let Some(held) = self.requests.get_mut(&id) else { continue };
+                    let Some(held) = self.requests.get_mut(&id) else {
+                        // It was lent to another process a moment ago.
+                        events.push_back(Event::RunEnded { id, outcome: Outcome::TooLate });
+                        continue;
+                    };
                     held.started = true;
                     held.sent = Some((now, Sent::Run));
                     let body = held.request.body.clone();
@@ -538,6 +593,7 @@
                 Action::Forget(id) => {
                     if let Some(key) = self.requests.get(&id).and_then(|h| h.key.clone()) {
                         self.keys.forget(&key, id);
+                        self.key_news.push(key);
                     }
                 }
                 Action::ShareAnswer(id) => self.share(id, events, out),
@@ -625,6 +681,7 @@
             if let Some(entry) = self.keys.get_mut(&key) {
                 entry.waiting.retain(|w| *w != id);
             }
+            self.key_news.push(key);
         }
         self.remove(id);
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -231,6 +231,25 @@
     pub connections: Option<f64>,
 }
 
+/// What a controller has learned of its machine: of use to its successor there.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+pub struct Learned {
+    /// The limit on runs (slots).
+    pub runs: usize,
+    /// What a run takes when the worker is well (seconds).
+    pub usual_s: f64,
+    /// By class: time on the cores and ended runs, both fading; sums over hints and lengths of runs.
+    pub paces: Vec<(f64, f64, [f64; 5])>,
+    /// The room for calls (mean number in hand).
+    pub call_room: f64,
+    /// The yardstick for the length of a call, and time on calls and ended calls, both fading (seconds; 0 while
+    /// none has ended).
+    pub call_s: f64,
+    /// See above.
+    pub calls: (f64, f64),
+}
+
 /// What happens to a worker.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -263,6 +282,17 @@
     Woken(Gauges),
     /// The operator's pools are others from now on, or none.
     Pools(Option<PoolPlan>),
+    /// What another process uses, from now on, of what this one counts as its own.
+    Beside {
+        /// Its runs on the cores.
+        on_cores: usize,
+        /// Its calls in the dependency's hands.
+        calling: usize,
+        /// The memory of its held and running requests.
+        kb: f64,
+    },
+    /// What another controller has learned of this machine.
+    Learned(Learned),
 }
 
 /// What the worker is to do.
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,6 +22,7 @@
         _ => return Err("usage: honeypost [--operator FILE]".to_owned()),
     };
     let config = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG names no file".to_owned())?;
-    let console = std::env::var("ROUTER_CONSOLE").ok().filter(|address| !address.is_empty());
-    net::run(Files { config, operator, console })
+    let given = |name: &str| std::env::var(name).ok().filter(|value| !value.is_empty());
+    let (console, socket, folder) = (given("ROUTER_CONSOLE"), given("ROUTER_SOCKET_FD"), given("TMPDIR"));
+    net::run(Files { config, operator, console, socket, folder })
 }
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -7,6 +7,7 @@
 use std::io::{self, IoSlice, Read, Write};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, TcpStream};
+use std::os::fd::OwnedFd;
 use std::rc::Rc;
 
 /// Slices handed to one gathered write.
@@ -244,6 +245,16 @@
         Ok(())
     }
 
+    /// Another descriptor of the same connection, for another process.
+    pub fn duplicate(&self) -> io::Result<OwnedFd> {
+        Ok(self.stream.try_clone()?.into())
+    }
+
+    /// Puts bytes that another process has read before what is still to be read.
+    pub fn put_back(&mut self, bytes: &[u8]) {
+        self.input.splice(self.start..self.start, bytes.iter().copied());
+    }
+
     /// Says that no more will be written.
     pub fn end_writing(&self) {
         // A peer that has gone already needs no word of it.
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -5,7 +5,9 @@
 use crate::core::{Input, Ticket};
 use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::rc::Rc;
 
 /// How long a request may take to come in whole, and the first one of a connection from its very start: a peer that
 /// is silent or sends half a request is closed within 3 s (seconds).
@@ -41,6 +43,8 @@
     Answering,
     /// All is said: what still comes is thrown away until the peer closes.
     Closing,
+    /// Another process has it, or is about to.
+    Lent,
 }
 
 /// A connection, with what its protocol remembers between two looks.
@@ -82,7 +86,7 @@
                 // One request at a time: what comes meanwhile waits in the buffer, then with the system. A reset
                 // shows in reading alone, and the core need not go on for a caller that is gone.
                 Stage::Asked if self.link.fill() == Filled::Broken => return Next::Close,
-                Stage::Asked => return Next::Wait,
+                Stage::Asked | Stage::Lent => return Next::Wait,
                 Stage::Answering if self.link.queued() > 0 => return Next::Wait,
                 Stage::Answering if self.close => {
                     self.link.end_writing();
@@ -128,6 +132,16 @@
     }
 }
 
+/// A connection on its way to another process, with what its protocol remembers.
+pub struct Parcel<P> {
+    pub stream: OwnedFd,
+    pub unread: Vec<u8>,
+    /// Requests that came in whole.
+    pub asked: u32,
+    pub close: bool,
+    pub memory: P,
+}
+
 /// What became of the wish for one more descriptor.
 enum Room {
     Made,
@@ -156,16 +170,58 @@
         place: fn(u64) -> Place,
         room: usize,
     ) -> io::Result<Connections<P>> {
-        let acceptor = Some(Acceptor::bind(poll, address, listener)?);
-        Ok(Connections {
-            acceptor,
+        let mut connections = Connections::shut(poll, place, room);
+        connections.acceptor = Some(Acceptor::bind(poll, address, listener)?);
+        Ok(connections)
+    }
+
+    /// Lets nobody in yet.
+    pub fn shut(poll: &Poll, place: fn(u64) -> Place, room: usize) -> Connections<P> {
+        Connections {
+            acceptor: None,
             poll: poll.clone(),
             place,
             room,
             all: HashMap::new(),
             touched: Vec::new(),
             silent_s: SILENT_S,
-        })
+        }
+    }
+
+    /// Lets clients in at a socket that listens already.
+    pub fn open(&mut self, socket: &Rc<TcpListener>, listener: Place) -> io::Result<()> {
+        self.acceptor = Some(Acceptor::on(&self.poll, socket.clone(), listener)?);
+        Ok(())
+    }
+
+    /// Goes on with a lent connection; `asked` says that its request is in hand.
+    pub fn take_back(&mut self, now: f64, id: u64, asked: bool) {
+        let Some(c) = self.all.get_mut(&id).filter(|c| c.stage == Stage::Lent) else { return };
+        let read = if c.link.data().is_empty() { Stage::Idle } else { Stage::Reading };
+        (c.stage, c.since) = (if asked { Stage::Asked } else { read }, now);
+        self.touched.push(id);
+    }
+
+    /// Takes over a connection from another process, in non-blocking mode; `asked` says that its request is in hand.
+    pub fn adopt(&mut self, now: f64, parcel: Parcel<P>, asked: bool) -> Option<u64> {
+        let id = self.poll.fresh();
+        let mut link =
+            Link::new(&self.poll, TcpStream::from(parcel.stream), (self.place)(id), self.room).ok()?;
+        link.put_back(&parcel.unread);
+        let stage = match asked {
+            true => Stage::Asked,
+            false if link.data().is_empty() => Stage::Idle,
+            false => Stage::Reading,
+        };
+        let Parcel { asked, close, memory, .. } = parcel;
+        let (since, opened, heard) = (now, now, now);
+        self.all.insert(id, Connection { link, stage, since, opened, heard, asked, close, memory });
+        self.touched.push(id);
+        Some(id)
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
     }
 
     /// Whoever comes takes the place of the oldest that has not asked in whole, however young that is.
@@ -197,7 +253,7 @@
 
     /// Whether all that was asked has been answered and written out.
     pub fn quiet(&self) -> bool {
-        self.all.values().all(|c| matches!(c.stage, Stage::Idle | Stage::Closing))
+        self.all.values().all(|c| matches!(c.stage, Stage::Idle | Stage::Closing | Stage::Lent))
     }
 
     /// Whether a connection has news that the loop has not told of.
@@ -310,7 +366,7 @@
                     lasts < idle_s && !leaving
                 }
                 Stage::Reading => lasts < SLOW_REQUEST_S,
-                Stage::Asked => true,
+                Stage::Asked | Stage::Lent => true,
                 Stage::Answering => lasts < SLOW_ANSWER_S,
                 Stage::Closing => now - c.heard < LINGER_S && lasts < LINGER_MOST_S,
             }
@@ -318,3 +374,15 @@
         self.all.shrink_to(4 * self.all.len());
     }
 }
+
+impl<P: Default + Copy> Connections<P> {
+    /// Lends a connection to another process: nothing is read or written here until it is taken back.
+    pub fn lend(&mut self, id: u64) -> Option<Parcel<P>> {
+        let c = self.all.get_mut(&id)?;
+        let (unread, memory) = (c.link.data().to_vec(), c.memory);
+        // Where the system gives no descriptor for it, it stays as it is.
+        let stream = c.link.duplicate().ok()?;
+        c.stage = Stage::Lent;
+        Some(Parcel { stream, unread, asked: c.asked, close: c.close, memory })
+    }
+}
--- a/src/net/http2/tests.rs
+++ b/src/net/http2/tests.rs
@@ -80,7 +80,14 @@
         World {
             waker,
             clock: Clock::new(),
-            state: State { known, level: Some(1.0), fit: true, leaving: false, draining: false },
+            state: State {
+                known,
+                level: Some(1.0),
+                fit: true,
+                leaving: false,
+                draining: false,
+                passing: false,
+            },
             session: Session::new(&http2),
             wire,
             client,
--- a/src/net/http_front.rs
+++ b/src/net/http_front.rs
@@ -9,7 +9,7 @@
 use crate::core::{Answer, Input, Request, Ticket};
 use std::fmt::Write;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 
 /// The longest head (bytes) and the most headers in one.
@@ -41,6 +41,16 @@
         Ok(HttpFront { connections })
     }
 
+    /// A front that lets nobody in yet.
+    pub fn shut(poll: &Poll) -> HttpFront {
+        HttpFront { connections: Connections::shut(poll, Place::Http, INPUT_MOST) }
+    }
+
+    /// Lets clients in at a socket that listens already.
+    pub fn open(&mut self, socket: &Rc<TcpListener>) -> io::Result<()> {
+        self.connections.open(socket, Place::HttpListener)
+    }
+
     /// Accepts and reads; `true` if accepting had to be broken off and wants another look.
     pub fn gather(&mut self, clock: &Clock, state: &State, inputs: &mut Vec<Input>) -> bool {
         let paused = self.connections.accept(clock.now());
@@ -55,6 +65,8 @@
         let now = clock.now();
         for _ in 0..STEPS_MOST {
             match c.settle(now) {
+                // Its next request is another process's.
+                Next::Read if state.passing => return,
                 Next::Read => {}
                 Next::Wait => return,
                 Next::Later => break,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 pub mod directory;
 pub mod executor;
 pub mod fields;
+pub mod handover;
 pub mod http2;
 pub mod http_front;
 pub mod meaning;
@@ -17,11 +18,13 @@
 pub mod pool;
 pub mod records;
 pub mod registry;
+mod replacing;
 pub mod wheel;
 
 use crate::config::{Config, Files, Operator};
 use crate::core::figures::Figures;
 use crate::core::{Answer, Command, Core, Input, Ticket};
+use crate::handover::{Doubt, Event};
 use crate::interface::{Outcome, Settings};
 use ajp_backend::AjpBackend;
 use ajp_front::{AjpFront, Turn};
@@ -32,12 +35,15 @@
 use directory::Directory;
 use executor::{Executor, Welcome};
 use fields::Catalogue;
+use handover::Links;
 use http2::Http2Front;
 use http_front::HttpFront;
 use poll::{Gathered, Place, Poll, ACCEPT_PAUSE_S};
 use records::Records;
 use registry::{Registry, BEAT_S};
+use replacing::Replacement;
 use std::collections::HashMap;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use wheel::{Timer, Wheel};
@@ -139,6 +145,8 @@
     pub leaving: bool,
     /// Operators have asked for clients to be sent away; everything that comes is still decided as ever.
     pub draining: bool,
+    /// Another process has this one's place, and takes the connections over as they fall idle.
+    pub passing: bool,
 }
 
 impl State {
@@ -168,7 +176,9 @@
     state: State,
     healthy: bool,
     idle_s: f64,
+    poll: Poll,
     console: Option<Console>,
+    replacement: Option<Replacement>,
     /// What was turned away before there was a core.
     early: Figures,
     http: HttpFront,
@@ -206,6 +216,7 @@
     let mut timer_token: Option<RegistrationToken> = None;
     let poll = Poll::new(handle.clone(), config.socket_budget());
     let mut worker = Worker::new(files, config, &poll)?;
+    worker.look_round(worker.clock.now());
     let mut gathered = Gathered::default();
     let mut armed = None;
     worker.turn(&mut gathered);
@@ -244,7 +255,11 @@
         let bind =
             |address| Console::bind(poll, address, sockets).map_err(|e| format!("console {address}: {e}"));
         let console = config.console.map(bind).transpose()?;
-        let http = HttpFront::bind(poll, config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+        let socket = files.socket.as_deref().map(handover::inherited).transpose()?;
+        let mut http = match &socket {
+            Some(_) => HttpFront::shut(poll),
+            None => HttpFront::bind(poll, config.listen).map_err(|e| format!("{}: {e}", config.listen))?,
+        };
         let executor = Executor::new(poll, config.executor, config.settings.domain.own_stats.clone());
         let by = operator.directory.as_ref().map(|d| d.identity);
         let ajp = match operator.ajp.clone() {
@@ -282,12 +297,27 @@
         if let Some(address) = config.console_passed_over {
             log.line(&format!("console: ROUTER_CONSOLE goes before the configuration's {address}"));
         }
+        let window_s = settings.classes.iter().map(|c| c.window_s).fold(0.0, f64::max);
+        let mut replacement = None;
+        if let Some(socket) = socket {
+            log.line(&format!("{}: http on {}, inherited", config.name, config.listen));
+            match &files.folder {
+                Some(folder) => {
+                    let links = Links::new(poll, Path::new(folder));
+                    replacement = Some(Replacement::new(links, socket, window_s));
+                }
+                None => {
+                    log.line("handover: TMPDIR names no folder: this process can't replace or be replaced");
+                    http.open(&socket).map_err(|e| format!("ROUTER_SOCKET_FD: {e}"))?;
+                }
+            }
+        }
         let mut wheel = Wheel::new(clock.now());
         wheel.set(clock.now(), SWEEP_S, Timer::Sweep);
         Ok(Worker {
             records: config.records.map(|to| Records::new(poll, to)),
             idle_s: settings.idle_s.max(1.0),
-            state: State { known, level: None, fit: false, leaving: false, draining: false },
+            state: State { known, level: None, fit: false, leaving: false, draining: false, passing: false },
             healthy: true,
             core: None,
             leaving: None,
@@ -302,6 +332,8 @@
             files,
             config,
             operator,
+            poll: poll.clone(),
+            replacement,
             early: Figures::new(settings.classes.len()),
             settings,
             console,
@@ -330,6 +362,16 @@
                         c.connections.mark(id, readable, writable);
                     }
                 }
+                Place::HandoverListener => {
+                    if let Some(r) = &mut self.replacement {
+                        r.links.mark_listener();
+                    }
+                }
+                Place::Handover(id) => {
+                    if let Some(r) = &mut self.replacement {
+                        r.links.mark(id, readable, writable);
+                    }
+                }
                 Place::HttpListener => self.http.connections.mark_listener(),
                 Place::Http(id) => self.http.connections.mark(id, readable, writable),
                 Place::AjpListener => {
@@ -371,6 +413,8 @@
             }
         }
         let mut inputs = std::mem::take(&mut self.left_over);
+        // A word that waits goes before the notice to leave: with the door given away that is no drain.
+        self.replace(now, &mut inputs);
         if std::mem::take(&mut gathered.leave) {
             self.leave(now, &mut inputs);
         }
@@ -393,6 +437,7 @@
                 self.carry_out(now, command, &mut inputs);
             }
             self.flush(now);
+            self.pass_on(now);
             if !self.pending() && inputs.is_empty() {
                 break;
             }
@@ -405,7 +450,11 @@
         if std::mem::take(&mut self.sweep_due) {
             self.sweep();
         }
-        self.follow_leaving();
+        if self.given_away() {
+            self.follow_ending(now);
+        } else {
+            self.follow_leaving();
+        }
     }
 
     /// Whether something waits that the loop will not tell of.
@@ -422,6 +471,7 @@
     fn gather(&mut self, inputs: &mut Vec<Input>) {
         let now = self.clock.now();
         let mut paused = self.serve_console(now);
+        self.replace(now, inputs);
         match &mut self.servers {
             Some(servers) => servers.gather(now, &self.state.known, inputs, &mut self.wheel, &mut self.log),
             None => self.executor.gather(now, inputs, &mut self.log),
@@ -433,7 +483,7 @@
             self.wheel.set(now, after, Timer::Relink);
         }
         if self.core.is_none() {
-            self.start_core(now);
+            self.start_core(now, inputs);
         }
         if let Some(records) = &mut self.records {
             records.gather(now, inputs, &mut self.wheel, &mut self.log);
@@ -481,6 +531,13 @@
         let linked = self.servers.is_some() || self.executor.linked();
         match call {
             Call::Ready if self.state.leaving => console::Reply::new(503, "leaving\n"),
+            Call::Ready if !self.door_open() => {
+                let given = self.given_away();
+                console::Reply::new(
+                    503,
+                    if given { "handed over\n" } else { "waiting for the process before\n" },
+                )
+            }
             Call::Ready if self.core.is_none() || !linked => {
                 console::Reply::new(503, "no link to the executor\n")
             }
@@ -506,6 +563,9 @@
 
     /// Sends clients away, or lets them come again: health and reports change at once, decisions don't.
     fn drain(&mut self, on: bool) {
+        if self.pass_drain(on) {
+            return;
+        }
         if self.state.draining != on {
             self.state.draining = on;
             self.log.line(if on { "console: draining" } else { "console: the drain has ended" });
@@ -535,7 +595,7 @@
     }
 
     /// The executor is up: the controller starts with it, as warm as the executor says.
-    fn start_core(&mut self, now: f64) {
+    fn start_core(&mut self, now: f64, inputs: &mut Vec<Input>) {
         // AJP servers say nothing of their start: they are taken to be up and warm.
         let up = self.servers.as_ref().map(|_| Welcome { cold: false, started: now });
         let Some(welcome) = up.or(self.executor.welcome()) else { return };
@@ -551,6 +611,7 @@
         // The controller's time begins now, not with the executor: a past start made its first run look hung.
         let mut core = Core::new(settings, now, room as usize, &mut commands);
         core.count_earlier(&self.early);
+        core.believe(self.replacement.as_ref().map_or(Doubt::None, Replacement::doubt));
         if let Some(leaving) = &self.leaving {
             let in_s = leaving.stop - now;
             core.handle(now, [Input::Leave { in_s }], &mut commands);
@@ -562,6 +623,7 @@
         self.state.fit = self.healthy;
         self.wheel.set(now, 0.0, Timer::Beat);
         self.executor.ask_gauges();
+        self.door(now, Event::Able, inputs);
     }
 
     fn timer(&mut self, now: f64, timer: Timer, inputs: &mut Vec<Input>) {
@@ -602,7 +664,8 @@
     /// Reports to the registry once the executor is up: the list takes `draining` for "no work, please".
     fn beat(&mut self, due: bool) {
         let ready = self.state.good();
-        if let Some(registry) = self.registry.as_mut().filter(|_| self.core.is_some()) {
+        let listed = self.core.is_some() && self.door_open();
+        if let Some(registry) = self.registry.as_mut().filter(|_| listed) {
             registry.beat(ready, due);
         }
     }
@@ -647,6 +710,7 @@
             Command::Publish(level) => self.state.level = Some(level),
             Command::WakeIn(after) => self.wheel.set(now, after, Timer::Wake),
             Command::Log(text) => self.log.line(&text),
+            Command::Key(news) => self.tell_key(&news),
         }
     }
 
@@ -658,9 +722,13 @@
     }
 
     fn leave(&mut self, now: f64, inputs: &mut Vec<Input>) {
+        if self.given_away() {
+            return self.door(now, Event::Leave, inputs);
+        }
         if self.leaving.is_some() {
             return;
         }
+        self.door(now, Event::Leave, inputs);
         let in_s = self.config.stop_ms / 1000.0;
         self.log.line(&format!("notice to leave; {in_s} s to the stop"));
         self.leaving = Some(Leaving { notice: now, stop: now + in_s, closed: None });
@@ -791,6 +859,9 @@
             {
                 self.log.line(&format!("pools: state {state}"));
             }
+            if let Some(r) = &mut self.replacement {
+                r.links.leave();
+            }
             self.log.line(if answered { "left with all answered" } else { "left with answers owed" });
             self.done = true;
         }
--- a/src/net/poll.rs
+++ b/src/net/poll.rs
@@ -26,6 +26,8 @@
 pub enum Place {
     ConsoleListener,
     Console(u64),
+    HandoverListener,
+    Handover(u64),
     HttpListener,
     AjpListener,
     Http2Listener,
@@ -62,28 +64,43 @@
 pub struct Poll {
     handle: LoopHandle<'static, Gathered>,
     left: Rc<Cell<usize>>,
+    /// Of these, what another process holds under the same limit.
+    beside: Rc<Cell<usize>>,
+    whole: usize,
     next: Rc<Cell<u64>>,
 }
 
 impl Poll {
     pub fn new(handle: LoopHandle<'static, Gathered>, descriptors: usize) -> Poll {
-        Poll { handle, left: Rc::new(Cell::new(descriptors)), next: Rc::new(Cell::new(1)) }
+        let (left, beside) = (Rc::new(Cell::new(descriptors)), Rc::new(Cell::new(0)));
+        Poll { handle, left, beside, whole: descriptors, next: Rc::new(Cell::new(1)) }
     }
 
     /// The same loop with a budget of its own: a listener and so many callers, whatever the others hold.
     pub fn apart(&self, callers: usize) -> Poll {
-        let left = Rc::new(Cell::new(KEPT_BACK + 1 + callers));
-        Poll { handle: self.handle.clone(), left, next: self.next.clone() }
+        let whole = KEPT_BACK + 1 + callers;
+        let (left, beside) = (Rc::new(Cell::new(whole)), Rc::new(Cell::new(0)));
+        Poll { handle: self.handle.clone(), left, beside, whole, next: self.next.clone() }
     }
 
     /// Whether the budget allows one more socket.
     pub fn room(&self) -> bool {
-        self.left.get() > 0
+        self.left.get() > self.beside.get()
+    }
+
+    /// Another process holds so many descriptors that count against this budget.
+    pub fn set_beside(&self, held: usize) {
+        self.beside.set(held);
+    }
+
+    /// Descriptors of the budget that are taken, here and beside.
+    pub fn used(&self) -> usize {
+        self.whole - self.left.get() + self.beside.get()
     }
 
     /// Whether the budget allows one more caller.
     pub fn room_for_caller(&self) -> bool {
-        self.left.get() > KEPT_BACK
+        self.left.get() > KEPT_BACK + self.beside.get()
     }
 
     /// A number that no other connection, call or search has had.
@@ -155,7 +172,12 @@
         socket.set_nonblocking(true)?;
         socket.bind(&address.into())?;
         socket.listen(1024)?;
-        let listener = Rc::new(TcpListener::from(socket));
+        Acceptor::on(poll, Rc::new(TcpListener::from(socket)), place)
+    }
+
+    /// Accepts on a socket that listens already and does not block. Dropping this leaves it listening for whoever
+    /// else holds it.
+    pub fn on(poll: &Poll, listener: Rc<TcpListener>, place: Place) -> io::Result<Acceptor> {
         let watch = poll.watch(listener.clone(), place)?;
         Ok(Acceptor { listener, poll: poll.clone(), _watch: watch, waiting: true })
     }
--- /dev/null
+++ b/src/net/replacing.rs
@@ -0,0 +1,564 @@
+//! What a worker does when it replaces another process, and when another replaces it: the acts that
+//! `src/handover/` decides on, carried out on the fronts, the core and the links.
+
+use super::connections::{Parcel, Stage};
+use super::handover::{Found, Heard, Links};
+use super::wheel::Timer;
+use super::{Clock, Worker};
+use crate::core::keys::{KeyName, KeyNews, Progress};
+use crate::core::{Input, LentRequest, Request, Ticket};
+use crate::handover::frame::{Bytes, Frame, Held, Key, KeyEnd, KeyState, Passed, Usage, VERSION};
+use crate::handover::{Act, Door, Doubt, Event, PATIENCE_S};
+use std::net::TcpListener;
+use std::os::fd::OwnedFd;
+use std::rc::Rc;
+
+/// SIGKILL follows SIGTERM after the longest deadline, counted as this where it is longer, and so much more
+/// (seconds; the running days' page). The process ends so long before.
+const LONGEST_LEAST_S: f64 = 3.0;
+const KILL_AFTER_S: f64 = 0.7;
+const END_MARGIN_S: f64 = 0.1;
+/// Descriptors that a process holds beside its budget: standard streams, the loop's, links.
+const OVERHEAD: usize = 10;
+
+/// What the old process has sent before it said that this was all.
+#[derive(Default)]
+struct Stash {
+    state: Option<Frame>,
+    keys: Vec<KeyState>,
+    usage: Usage,
+    passed: Vec<(Passed, OwnedFd)>,
+    /// It has been acted on: what comes now is acted on as it comes.
+    adopted: bool,
+}
+
+/// The part of a worker that exists where the listening socket is inherited and there is a folder to meet in.
+pub struct Replacement {
+    pub links: Links,
+    pub door: Door,
+    socket: Rc<TcpListener>,
+    stash: Stash,
+    lent: Vec<LentRequest>,
+    told: Usage,
+    /// The new process and this one understand each other.
+    welcome: bool,
+    /// What was believed of keys before they were lent.
+    doubt: Doubt,
+    /// Told to leave with the door given away: when the process ends at the latest.
+    pub ending: Option<f64>,
+}
+
+impl Replacement {
+    /// What is believed of keys, for a core that begins now.
+    pub fn doubt(&self) -> Doubt {
+        self.doubt
+    }
+
+    pub fn new(links: Links, socket: Rc<TcpListener>, window_s: f64) -> Replacement {
+        Replacement {
+            links,
+            door: Door::new(window_s),
+            socket,
+            stash: Stash::default(),
+            lent: Vec::new(),
+            told: Usage::default(),
+            welcome: false,
+            doubt: Doubt::None,
+            ending: None,
+        }
+    }
+}
+
+/// The Unix time of the loop's zero (milliseconds): times on the link mean the same in both processes.
+fn zero_ms(clock: &Clock) -> f64 {
+    clock.unix_ms() - clock.now() * 1000.0
+}
+
+fn to_state(news: &KeyNews, zero_ms: f64) -> KeyState {
+    let name = &news.name;
+    KeyState {
+        key: Key { class: name.class, tenant: name.tenant, key: name.key.clone() },
+        print: news.print,
+        until_ms: zero_ms + news.until * 1000.0,
+        end: match &news.progress {
+            Some(Progress::Open) => KeyEnd::Open,
+            Some(Progress::Served(result)) => KeyEnd::Served(result.clone().map(Bytes)),
+            Some(Progress::Failed) => KeyEnd::Failed,
+            None => KeyEnd::Never,
+        },
+    }
+}
+
+fn to_news(state: KeyState, zero_ms: f64) -> KeyNews {
+    let Key { class, tenant, key } = state.key;
+    KeyNews {
+        name: KeyName { class, tenant, key },
+        print: state.print,
+        until: (state.until_ms - zero_ms) / 1000.0,
+        progress: match state.end {
+            KeyEnd::Open => Some(Progress::Open),
+            KeyEnd::Served(result) => Some(Progress::Served(result.map(|b| b.0))),
+            KeyEnd::Failed => Some(Progress::Failed),
+            KeyEnd::Never => None,
+        },
+    }
+}
+
+fn to_held(lent: &LentRequest, zero_ms: f64) -> Held {
+    let r = &lent.request;
+    Held {
+        name: r.name.clone(),
+        class: r.class,
+        tenant: r.tenant,
+        caller: r.caller,
+        kb: r.kb,
+        arrived_ms: zero_ms + lent.arrived * 1000.0,
+        due_ms: zero_ms + lent.due * 1000.0,
+        size_s: r.size_s,
+        key: r.key.clone(),
+        retry: r.retry,
+        body: Bytes(r.body.clone()),
+    }
+}
+
+fn to_request(held: Held, ticket: Ticket, unix_ms: f64) -> Request {
+    Request {
+        ticket,
+        name: held.name,
+        class: held.class,
+        tenant: held.tenant,
+        caller: held.caller,
+        kb: held.kb,
+        unread_s: ((unix_ms - held.arrived_ms) / 1000.0).max(0.0),
+        patience_s: ((held.due_ms - unix_ms) / 1000.0).max(0.0),
+        size_s: held.size_s,
+        key: held.key,
+        retry: held.retry,
+        body: held.body.0,
+    }
+}
+
+impl Worker {
+    /// Whether clients are let in.
+    pub(super) fn door_open(&self) -> bool {
+        self.replacement.as_ref().map_or(true, |r| r.door.is_open())
+    }
+
+    /// Whether another process has this one's place.
+    pub(super) fn given_away(&self) -> bool {
+        self.replacement.as_ref().is_some_and(|r| r.door.given_away())
+    }
+
+    /// Looks for a process that serves already, right after the start.
+    pub(super) fn look_round(&mut self, now: f64) {
+        let Some(r) = &mut self.replacement else { return };
+        let event = match r.links.seek() {
+            Ok(Found::Linked) => Event::Linked,
+            Ok(Found::Nobody) => Event::Alone,
+            Ok(Found::Dead) => {
+                self.log.line("handover: the process before this one has died; what it ran is not known");
+                Event::FoundDead
+            }
+            Err(e) => {
+                self.log.line(&format!("handover: no link to a process before this one: {e}"));
+                Event::Alone
+            }
+        };
+        let mut inputs = Vec::new();
+        self.door(now, event, &mut inputs);
+        self.left_over.append(&mut inputs);
+    }
+
+    /// Tells the door what happened and does what it says.
+    pub(super) fn door(&mut self, now: f64, event: Event, inputs: &mut Vec<Input>) {
+        let Some(r) = &mut self.replacement else { return };
+        let mut acts = Vec::new();
+        r.door.handle(now, event, &mut acts);
+        if matches!(event, Event::Linked | Event::Welcomed | Event::Able) {
+            self.wheel.set(now, PATIENCE_S, Timer::Again);
+        }
+        for act in acts {
+            self.act(now, act, inputs);
+        }
+    }
+
+    /// Takes what the links have said, before any front is looked at.
+    pub(super) fn replace(&mut self, now: f64, inputs: &mut Vec<Input>) {
+        while let Some(heard) = self.replacement.as_mut().and_then(|r| r.links.hear()) {
+            match heard {
+                Heard::Old(frame, descriptor) => self.old_said(now, frame, descriptor, inputs),
+                Heard::OldDamaged(why) => {
+                    self.log.line(&format!("handover: what the old process says is damaged: {why}"));
+                    self.door(now, Event::Estranged, inputs);
+                }
+                Heard::OldLost => {
+                    self.log.line("handover: the old process has ended");
+                    self.poll.set_beside(0);
+                    self.door(now, Event::OldLost, inputs);
+                    inputs.push(Input::PredecessorGone);
+                }
+                Heard::New(frame) => self.new_said(now, frame, inputs),
+                Heard::NewDamaged(why) => {
+                    self.log.line(&format!("handover: what the new process says is damaged: {why}"));
+                    if let Some(r) = &mut self.replacement {
+                        r.links.drop_new();
+                    }
+                    self.door(now, Event::NewLost, inputs);
+                }
+                Heard::NewLost => {
+                    self.log.line("handover: the new process has ended");
+                    self.door(now, Event::NewLost, inputs);
+                }
+            }
+        }
+        // Only now: what it waits for may have come while this process got no time.
+        self.door(now, Event::Tick, inputs);
+    }
+
+    fn old_said(&mut self, now: f64, frame: Frame, descriptor: Option<OwnedFd>, inputs: &mut Vec<Input>) {
+        let Some(r) = &mut self.replacement else { return };
+        let adopted = r.stash.adopted;
+        match frame {
+            Frame::Welcome => self.door(now, Event::Welcomed, inputs),
+            Frame::Stranger { why } => {
+                self.log.line(&format!("handover: the old process gives nothing: {why}"));
+                self.door(now, Event::Estranged, inputs);
+            }
+            Frame::State { .. } => r.stash.state = Some(frame),
+            Frame::Key(state) if adopted => {
+                inputs.push(Input::Key(to_news(state, zero_ms(&self.clock))));
+            }
+            Frame::Key(state) => r.stash.keys.push(state),
+            Frame::Usage(usage) if adopted => self.beside(usage, inputs),
+            Frame::Usage(usage) => r.stash.usage = usage,
+            Frame::Passed(passed) => {
+                let Some(descriptor) = descriptor else { return };
+                if adopted {
+                    self.take_over(now, passed, descriptor, inputs);
+                } else {
+                    r.stash.passed.push((passed, descriptor));
+                }
+            }
+            Frame::Done => self.door(now, Event::Given, inputs),
+            Frame::Drain(on) => self.drain(on),
+            _ => self.log.often("handover: the old process said what only a new one says"),
+        }
+    }
+
+    fn new_said(&mut self, now: f64, frame: Frame, inputs: &mut Vec<Input>) {
+        match frame {
+            Frame::Hello { version, name, classes, tenants } => {
+                let s = &self.config.settings;
+                let same = classes.iter().eq(s.profiles.iter().map(|p| &p.name))
+                    && tenants.iter().eq(s.tenants.iter().map(|t| &t.name));
+                let why = if version != VERSION {
+                    Some(format!("version {version}, expected {VERSION}"))
+                } else if name != self.config.name || !same {
+                    Some("another name, other classes or other tenants".to_owned())
+                } else {
+                    None
+                };
+                let Some(r) = &mut self.replacement else { return };
+                r.welcome = why.is_none();
+                match why {
+                    None => r.links.to_new(&Frame::Welcome, None),
+                    Some(why) => {
+                        self.log.line(&format!("handover: the new process gets nothing: {why}"));
+                        r.links.to_new(&Frame::Stranger { why }, None);
+                    }
+                }
+            }
+            Frame::Take if self.replacement.as_ref().is_some_and(|r| r.welcome) => {
+                self.door(now, Event::Asked, inputs);
+            }
+            Frame::Opened => self.door(now, Event::Acknowledged, inputs),
+            _ => self.log.often("handover: the new process said what only an old one says"),
+        }
+    }
+
+    fn act(&mut self, now: f64, act: Act, inputs: &mut Vec<Input>) {
+        let Some(r) = &mut self.replacement else { return };
+        match act {
+            Act::Greet => {
+                let s = &self.config.settings;
+                r.links.to_old(&Frame::Hello {
+                    version: VERSION,
+                    name: self.config.name.clone(),
+                    classes: s.profiles.iter().map(|p| p.name.clone()).collect(),
+                    tenants: s.tenants.iter().map(|t| t.name.clone()).collect(),
+                });
+            }
+            Act::Ask => r.links.to_old(&Frame::Take),
+            Act::Acknowledge => r.links.to_old(&Frame::Opened),
+            Act::Watch | Act::Forget => {
+                r.stash = Stash::default();
+                if act == Act::Watch {
+                    r.links.watch_old();
+                }
+            }
+            Act::Adopt => self.adopt(now, inputs),
+            Act::Open => self.open(now),
+            Act::Believe(doubt) => {
+                self.log.line(match doubt {
+                    Doubt::None => "handover: all keys are known again",
+                    Doubt::Lives => {
+                        "handover: the old process says nothing: keys that are not known here fail"
+                    }
+                    Doubt::Until(_) => {
+                        "handover: further tries of keys that are not known here fail for a window"
+                    }
+                });
+                r.doubt = doubt;
+                if let Some(core) = &mut self.core {
+                    core.believe(doubt);
+                }
+            }
+            Act::Lend => self.lend(now, inputs),
+            Act::Part => {
+                for lent in std::mem::take(&mut r.lent) {
+                    self.http.connections.close(lent.request.ticket.0);
+                }
+                for id in self.http.connections.ids_where(|c| c.stage == Stage::Lent) {
+                    self.http.connections.close(id);
+                }
+                r.links.stop_listening();
+                self.log.line("handover: the new process has the door");
+            }
+            Act::TakeBack => self.take_back(now, inputs),
+            Act::End => {
+                let longest =
+                    self.settings.classes.iter().map(|c| c.deadline_s).fold(LONGEST_LEAST_S, f64::max);
+                let in_s = longest + KILL_AFTER_S - END_MARGIN_S;
+                r.ending = Some(r.ending.unwrap_or(now + in_s));
+                self.wheel.set(now, in_s, Timer::Again);
+                self.log.line("handover: told to leave; ends when nothing is owed");
+            }
+        }
+    }
+
+    /// Lets clients in, and a successor.
+    fn open(&mut self, now: f64) {
+        let Some(r) = &mut self.replacement else { return };
+        self.state.passing = false;
+        if let Some(core) = &mut self.core {
+            core.end_lending();
+        }
+        if let Err(e) = self.http.open(&r.socket) {
+            self.log.line(&format!("handover: the door can't be opened: {e}"));
+        }
+        if let Err(e) = r.links.listen() {
+            self.log.line(&format!("handover: this process can't be replaced: {e}"));
+        }
+        self.log.line("handover: the door is open here");
+        if self.core.is_some() {
+            self.wheel.set(now, 0.0, Timer::Beat);
+        }
+    }
+
+    /// Acts on all that the old process has sent.
+    fn adopt(&mut self, now: f64, inputs: &mut Vec<Input>) {
+        let Some(r) = &mut self.replacement else { return };
+        let mut stash = std::mem::take(&mut r.stash);
+        r.stash.adopted = true;
+        let (keys, connections) = (stash.keys.len(), stash.passed.len());
+        let held = stash.passed.iter().filter(|(p, _)| p.held.is_some()).count();
+        if let Some(Frame::State { prints, draining, learned, running }) = stash.state.take() {
+            if let Some(core) = &mut self.core {
+                core.succeed(prints, running);
+            }
+            inputs.push(Input::Learned(learned));
+            self.drain(draining);
+        }
+        let zero = zero_ms(&self.clock);
+        inputs.extend(stash.keys.drain(..).map(|state| Input::Key(to_news(state, zero))));
+        self.beside(stash.usage, inputs);
+        for (passed, descriptor) in stash.passed {
+            self.take_over(now, passed, descriptor, inputs);
+        }
+        self.log.line(&format!(
+            "handover: taken over: keys={keys} connections={connections} held={held} runs_beside={}",
+            stash.usage.on_cores
+        ));
+    }
+
+    /// The old process uses so much of what both count as their own.
+    fn beside(&mut self, usage: Usage, inputs: &mut Vec<Input>) {
+        self.poll.set_beside(usage.sockets);
+        let Usage { on_cores, calling, kb, .. } = usage;
+        inputs.push(Input::Beside { on_cores, calling, kb });
+    }
+
+    fn take_over(&mut self, now: f64, passed: Passed, stream: OwnedFd, inputs: &mut Vec<Input>) {
+        let Passed { unread, continued, asked, close, held } = passed;
+        let parcel = Parcel { stream, unread: unread.0.to_vec(), asked, close, memory: continued };
+        let Some(id) = self.http.connections.adopt(now, parcel, held.is_some()) else {
+            return self.log.often("handover: a connection could not be taken over");
+        };
+        if let Some(held) = held {
+            inputs.push(Input::Arrived(to_request(held, Ticket(id), self.clock.unix_ms())));
+        }
+    }
+
+    /// Sends everything that the new process needs, in one go; what it gets is kept until it says that it has it.
+    fn lend(&mut self, now: f64, inputs: &mut Vec<Input>) {
+        // What was gathered before this is news of what is about to be lent.
+        let mut commands = Vec::new();
+        if let Some(core) = &mut self.core {
+            core.handle(now, inputs.drain(..), &mut commands);
+        }
+        for command in std::mem::take(&mut commands) {
+            self.carry_out(now, command, inputs);
+        }
+        let zero = zero_ms(&self.clock);
+        self.http.connections.stop_listening();
+        if let Some(ajp) = &mut self.ajp {
+            ajp.connections.stop_listening();
+        }
+        if let Some(http2) = &mut self.http2 {
+            http2.connections.stop_listening();
+        }
+        self.state.passing = true;
+        let Some(r) = &mut self.replacement else { return };
+        let http = &self.http.connections;
+        let mut lent = None;
+        if let Some(core) = &mut self.core {
+            lent = Some(core.lend(now, |ticket| http.owns(ticket.0), &mut commands));
+            core.believe(Doubt::Lives);
+        }
+        if let Some(lent) = lent {
+            let draining = self.state.draining;
+            let (prints, learned, running) = (lent.prints, lent.learned, lent.running);
+            r.links.to_new(&Frame::State { prints, draining, learned, running }, None);
+            for news in &lent.keys {
+                r.links.to_new(&Frame::Key(to_state(news, zero)), None);
+            }
+            for request in lent.requests {
+                let held = Some(to_held(&request, zero));
+                match self.http.connections.lend(request.request.ticket.0) {
+                    Some(parcel) => {
+                        r.links.to_new(&Frame::Passed(passed(&parcel, held)), Some(parcel.stream));
+                        r.lent.push(request);
+                    }
+                    // It stays here and is answered here.
+                    None => inputs.push(Input::Arrived(request.at(now))),
+                }
+            }
+        }
+        let rests = |s: Stage| matches!(s, Stage::Idle | Stage::Reading);
+        for id in self.http.connections.ids_where(|c| rests(c.stage)) {
+            if let Some(parcel) = self.http.connections.lend(id) {
+                r.links.to_new(&Frame::Passed(passed(&parcel, None)), Some(parcel.stream));
+            }
+        }
+        self.log.line(&format!("handover: lent to the new process: held={}", r.lent.len()));
+        // Lent connections are as good as gone: they count there.
+        let lent = self.http.connections.ids_where(|c| c.stage == Stage::Lent).len();
+        self.tell_usage(lent);
+        if let Some(r) = &mut self.replacement {
+            r.links.to_new(&Frame::Done, None);
+        }
+        for command in commands {
+            self.carry_out(now, command, inputs);
+        }
+    }
+
+    /// The new process has ended before it said that it has all: everything is as it was before.
+    fn take_back(&mut self, now: f64, inputs: &mut Vec<Input>) {
+        let Some(r) = &mut self.replacement else { return };
+        self.state.passing = false;
+        if let Some(core) = &mut self.core {
+            core.end_lending();
+            core.believe(r.doubt);
+        }
+        for lent in std::mem::take(&mut r.lent) {
+            self.http.connections.take_back(now, lent.request.ticket.0, true);
+            inputs.push(Input::Arrived(lent.at(now)));
+        }
+        for id in self.http.connections.ids_where(|c| c.stage == Stage::Lent) {
+            self.http.connections.take_back(now, id, false);
+        }
+        if let Err(e) = self.http.open(&r.socket) {
+            self.log.line(&format!("handover: the door can't be opened: {e}"));
+        }
+        self.wheel.set(now, 0.0, Timer::Beat);
+        self.log.line("handover: the door is taken back");
+    }
+
+    /// A key that another process should know of.
+    pub(super) fn tell_key(&mut self, news: &KeyNews) {
+        let zero = zero_ms(&self.clock);
+        if let Some(r) = &mut self.replacement {
+            r.links.to_new(&Frame::Key(to_state(news, zero)), None);
+        }
+    }
+
+    /// Tells the new process of a drain that operators asked for here; `false` where there is none.
+    pub(super) fn pass_drain(&mut self, on: bool) -> bool {
+        match &mut self.replacement {
+            Some(r) if r.door.given_away() => {
+                r.links.to_new(&Frame::Drain(on), None);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn tell_usage(&mut self, less: usize) {
+        let Some(core) = &self.core else { return };
+        let (on_cores, calling, kb) = core.usage();
+        let sockets = self.poll.used().saturating_sub(less) + OVERHEAD;
+        let usage = Usage { on_cores, calling, kb, sockets };
+        if let Some(r) = &mut self.replacement {
+            if r.told != usage {
+                r.told = usage;
+                r.links.to_new(&Frame::Usage(usage), None);
+            }
+        }
+    }
+
+    /// At the end of a turn: connections that have fallen idle go to the new process, and it hears of what is used.
+    pub(super) fn pass_on(&mut self, now: f64) {
+        let Some(r) = &mut self.replacement else { return };
+        if r.door.has_parted() && r.links.has_new() {
+            let rests = |s: Stage| matches!(s, Stage::Idle | Stage::Reading);
+            for id in self.http.connections.ids_where(|c| rests(c.stage)) {
+                if let Some(parcel) = self.http.connections.lend(id) {
+                    r.links.to_new(&Frame::Passed(passed(&parcel, None)), Some(parcel.stream));
+                }
+                self.http.connections.close(id);
+            }
+            self.tell_usage(0);
+        }
+        let Some(r) = &mut self.replacement else { return };
+        if r.links.flush() {
+            self.wheel.set(now, 0.0, Timer::Again);
+        }
+    }
+
+    /// Ends once nothing is owed here, with the door given away and the notice to leave taken.
+    pub(super) fn follow_ending(&mut self, now: f64) {
+        let Some(r) = &self.replacement else { return };
+        let Some(at_most) = r.ending else { return };
+        let owed = self.core.as_ref().is_some_and(|core| !core.idle());
+        let others = self.ajp.as_ref().map_or(true, |a| a.connections.quiet())
+            && self.http2.as_ref().map_or(true, |h| h.connections.quiet());
+        // Without a successor nobody takes what is idle.
+        let http = &self.http.connections;
+        let passed = if r.links.has_new() { http.is_empty() } else { http.quiet() };
+        let over = !owed && others && passed && r.links.quiet();
+        if over && !r.door.has_predecessor() || now >= at_most {
+            self.log.line(if over { "left with all handed over" } else { "left with answers owed" });
+            self.done = true;
+        }
+    }
+}
+
+fn passed(parcel: &Parcel<bool>, held: Option<Held>) -> Passed {
+    Passed {
+        unread: Bytes(parcel.unread.as_slice().into()),
+        continued: parcel.memory,
+        asked: parcel.asked,
+        close: parcel.close,
+        held,
+    }
+}
