--- /dev/null
+++ b/src/core/tests/mod.rs
@@ -0,0 +1,365 @@
+//! Stories of the core alone, and random histories.
+
+mod lending;
+
+use super::*;
+use crate::interface::{Class, Dependency, Effect};
+
+struct Play {
+    core: Core,
+    now: f64,
+    out: Vec<Command>,
+}
+
+fn settings() -> Settings {
+    let class = |effect| Class {
+        worth: 1.0,
+        aim_s: 2.0,
+        deadline_s: 4.0,
+        effect,
+        window_s: 10.0,
+        calls: true,
+        skipped_worth: if effect == Effect::Safe { 0.6 } else { 0.0 },
+        late_worth: 0.0,
+    };
+    Settings {
+        cores: 2,
+        crowd_multiple: 8.0,
+        memory_kb: 1e6,
+        run_factor: 4.0,
+        leave_grace_s: 1.0,
+        wake_ahead_s: 0.002,
+        max_advice_s: 1.0,
+        dependency: Some(Dependency { share: 8.0, window_s: 5.0, linger_s: 0.1 }),
+        classes: vec![class(Effect::Safe), class(Effect::Keyed)],
+        ..Settings::default()
+    }
+}
+
+fn request(number: u64, key: &str) -> Request {
+    Request {
+        ticket: Ticket(number),
+        name: format!("r{number}").into(),
+        class: usize::from(!key.is_empty()),
+        tenant: None,
+        caller: 1,
+        kb: 10.0,
+        unread_s: 0.0,
+        patience_s: 3.0,
+        size_s: None,
+        key: Some(key).filter(|k| !k.is_empty()).map(Rc::from),
+        retry: false,
+        body: Rc::from(*b"body"),
+    }
+}
+
+impl Play {
+    fn new() -> Play {
+        let mut out = Vec::new();
+        Play { core: Core::new(settings(), 0.0, 1000, &mut out), now: 0.0, out }
+    }
+
+    fn tell(&mut self, input: Input) -> Vec<Command> {
+        self.core.handle(self.now, [input], &mut self.out);
+        std::mem::take(&mut self.out)
+    }
+
+    fn arrive(&mut self, number: u64, key: &str) -> Vec<Command> {
+        self.tell(Input::Arrived(request(number, key)))
+    }
+
+    fn end(&mut self, number: u64, outcome: Outcome, result: &[u8]) -> Vec<Command> {
+        let result = (outcome == Outcome::Ok).then(|| result.into());
+        self.tell(Input::RunEnded { name: format!("r{number}").into(), outcome, result })
+    }
+
+    fn pass(&mut self, seconds: f64) -> Vec<Command> {
+        let until = self.now + seconds;
+        let mut all = Vec::new();
+        while self.now < until {
+            self.now += 0.025;
+            all.extend(self.tell(Input::Woken(Gauges::default())));
+        }
+        all
+    }
+}
+
+fn runs(out: &[Command]) -> usize {
+    out.iter().filter(|c| matches!(c, Command::Run { .. })).count()
+}
+
+fn answers(out: &[Command]) -> Vec<(u64, Answer)> {
+    let given = |c: &Command| if let Command::Answer(t, a) = c { Some((t.0, a.clone())) } else { None };
+    out.iter().filter_map(given).collect()
+}
+
+fn served(result: &[u8]) -> Answer {
+    Answer::Served(result.into())
+}
+
+#[test]
+fn tries_of_a_key_share_one_run_before_during_and_after_it() {
+    let mut p = Play::new();
+    // Both slots are taken: the key's first try is held, its second is linked to it there.
+    p.arrive(1, "");
+    p.arrive(2, "");
+    assert_eq!(runs(&p.arrive(3, "k")) + runs(&p.arrive(4, "k")), 0);
+    assert_eq!(runs(&p.end(1, Outcome::Ok, b"x")), 1);
+    assert_eq!(runs(&p.arrive(5, "k")), 0);
+    let out = p.end(3, Outcome::Ok, b"done");
+    assert_eq!(answers(&out), vec![(3, served(b"done")), (4, served(b"done")), (5, served(b"done"))]);
+    p.now = 9.9;
+    assert_eq!(answers(&p.arrive(6, "k")), vec![(6, served(b"done"))]);
+    // A try that reached the machine within the window and was read after it.
+    p.now = 11.0;
+    let out = p.tell(Input::Arrived(Request { unread_s: 1.5, patience_s: 1.5, ..request(7, "k") }));
+    assert_eq!((runs(&out), answers(&out)), (0, vec![(7, served(b"done"))]));
+    assert_eq!(runs(&p.arrive(8, "k")), 1);
+    assert_eq!(p.core.owed(), 2);
+}
+
+#[test]
+fn a_run_past_its_due_time_is_answered_once_and_its_result_kept() {
+    let mut p = Play::new();
+    p.arrive(1, "k");
+    assert_eq!(answers(&p.pass(3.2)), vec![(1, Answer::OutOfTime)]);
+    assert_eq!(answers(&p.end(1, Outcome::Ok, b"late")), vec![]);
+    assert_eq!(answers(&p.arrive(2, "k")), vec![(2, served(b"late"))]);
+}
+
+#[test]
+fn a_run_that_never_began_frees_its_key_and_one_that_failed_does_not() {
+    let mut p = Play::new();
+    p.arrive(1, "k");
+    p.arrive(2, "k");
+    let refused = Answer::Refused { stay_away_s: COME_BACK_S, no_other: false };
+    let out = p.tell(Input::NeverRan { name: "r1".into() });
+    assert_eq!(answers(&out), vec![(1, refused.clone()), (2, refused)]);
+    assert_eq!(runs(&p.arrive(3, "k")), 1);
+    assert_eq!(answers(&p.end(3, Outcome::Broken, b"")), vec![(3, Answer::Failed)]);
+    let out = p.arrive(4, "k");
+    assert_eq!((runs(&out), answers(&out)), (0, vec![(4, Answer::Failed)]));
+}
+
+#[test]
+fn a_call_is_given_up_with_its_run_and_late_news_of_either_is_let_pass() {
+    let mut p = Play::new();
+    p.arrive(1, "");
+    let out = p.tell(Input::AtCall { name: "r1".into(), body: Rc::from(*b"?"), mark: 7 });
+    assert!(matches!(&out[..], [Command::Call { body, .. }] if **body == *b"?"), "{out:?}");
+    let out = p.end(1, Outcome::Stopped, b"");
+    assert_eq!(out, vec![Command::GiveUpCall("r1".into()), Command::Answer(Ticket(1), Answer::Failed)]);
+    let reply = Some(Rc::from(*b"!"));
+    assert_eq!(p.tell(Input::CallEnded { name: "r1".into(), outcome: Outcome::Ok, reply }), vec![]);
+    assert_eq!(p.tell(Input::AtCall { name: "r1".into(), body: Rc::from([]), mark: 8 }), vec![]);
+    assert_eq!(p.end(1, Outcome::Ok, b"again"), vec![]);
+}
+
+#[test]
+fn a_second_request_of_a_name_in_hand_is_failed_and_the_first_is_not_touched() {
+    let mut p = Play::new();
+    p.arrive(1, "");
+    let out = p.tell(Input::Arrived(Request { ticket: Ticket(9), ..request(1, "") }));
+    assert_eq!(out, vec![Command::Answer(Ticket(9), Answer::Conflict)]);
+    assert_eq!(answers(&p.end(1, Outcome::Ok, b"x")), vec![(1, served(b"x"))]);
+}
+
+/// Bad clients were served with the result of the request whose key they used.
+#[test]
+fn a_known_key_with_another_body_is_turned_away_and_the_first_is_not_touched() {
+    let other = |number| Input::Arrived(Request { body: Rc::from(*b"other"), ..request(number, "k") });
+    let turned_away = |number| vec![Command::Answer(Ticket(number), Answer::Conflict)];
+    let mut p = Play::new();
+    p.arrive(1, "k");
+    assert_eq!(p.tell(other(2)), turned_away(2));
+    assert_eq!(answers(&p.end(1, Outcome::Ok, b"done")), vec![(1, served(b"done"))]);
+    assert_eq!(p.tell(other(3)), turned_away(3));
+    assert_eq!(answers(&p.arrive(4, "k")), vec![(4, served(b"done"))]);
+    assert_eq!(p.core.owed(), 0);
+}
+
+/// Lost commands held their run slots until long after their due time.
+#[test]
+fn what_a_broken_link_may_have_lost_is_given_again_and_a_reply_not_to_the_next_call() {
+    let mut p = Play::new();
+    p.arrive(1, "");
+    p.arrive(2, "k");
+    let at_call =
+        |number: u64, mark| Input::AtCall { name: format!("r{number}").into(), body: Rc::from(*b"?"), mark };
+    let reply = |number: u64| Input::CallEnded {
+        name: format!("r{number}").into(),
+        outcome: Outcome::Ok,
+        reply: Some(Rc::from(*b"!")),
+    };
+    let doubt = |from, to| Input::InDoubt { from, to };
+    // Both starts are in doubt, but one run has been heard of since.
+    p.tell(at_call(1, 7));
+    let out = p.tell(doubt(-0.1, 0.1));
+    assert!(matches!(&out[..], [Command::Run { name, body, .. }] if &**name == "r2" && **body == *b"body"));
+    assert_eq!(p.tell(doubt(0.1, 0.2)), vec![]);
+    // A reply in doubt is left out where that keeps a part of the worth.
+    p.tell(reply(1));
+    assert!(p.tell(doubt(-0.1, 0.1)).contains(&Command::SkipCall { name: "r1".into(), mark: 7 }));
+    // Else it is sent again when its run has been silent for long, and not once the run has gone on.
+    p.tell(at_call(2, 8));
+    p.tell(reply(2));
+    assert!(!p.tell(doubt(-0.1, 0.1)).iter().any(|c| matches!(c, Command::Resume { .. })));
+    let out = p.pass(1.0);
+    assert!(out.iter().any(|c| matches!(c, Command::Resume { name, .. } if &**name == "r2")), "{out:?}");
+    p.tell(at_call(2, 9));
+    p.tell(reply(2));
+    p.tell(doubt(0.9, 1.1));
+    p.tell(at_call(2, 10));
+    assert!(!p.pass(1.0).iter().any(|c| matches!(c, Command::Resume { .. })));
+}
+
+#[test]
+fn a_start_that_came_too_late_frees_its_key_unless_it_was_given_twice() {
+    let mut p = Play::new();
+    p.arrive(1, "k");
+    assert_eq!(answers(&p.end(1, Outcome::TooLate, b"")), vec![(1, refused())]);
+    assert_eq!(runs(&p.arrive(2, "k")), 1);
+    p.tell(Input::InDoubt { from: -0.1, to: 0.1 });
+    assert_eq!(answers(&p.end(2, Outcome::TooLate, b"")), vec![(2, Answer::Failed)]);
+    assert_eq!(runs(&p.arrive(3, "k")), 0);
+}
+
+/// Made-up requests counted as failed runs, and the worker took itself for sick.
+#[test]
+fn requests_that_the_backend_does_not_know_are_no_sign_of_bad_health() {
+    let mut p = Play::new();
+    for number in 0..20 {
+        p.arrive(number, "");
+        let out = p.tell(Input::Unknown { name: format!("r{number}").into() });
+        assert_eq!(out, vec![Command::Answer(Ticket(number), Answer::Failed)]);
+    }
+}
+
+#[test]
+fn a_caller_that_is_gone_is_forgotten_while_held_and_its_run_goes_on() {
+    let mut p = Play::new();
+    p.arrive(1, "k");
+    p.arrive(2, "");
+    p.arrive(3, "");
+    p.arrive(4, "l");
+    for number in [1, 3, 4] {
+        assert_eq!(p.tell(Input::Gone(Ticket(number))), vec![]);
+    }
+    assert_eq!((p.core.owed(), p.core.knows("r1"), p.core.knows("r3")), (1, true, false));
+    assert_eq!(p.end(1, Outcome::Ok, b"done"), vec![]);
+    assert_eq!(answers(&p.arrive(5, "k")), vec![(5, served(b"done"))]);
+    assert_eq!(runs(&p.arrive(6, "l")), 1);
+}
+
+#[test]
+fn a_run_that_never_ends_gives_its_slot_back() {
+    let mut p = Play::new();
+    p.arrive(1, "");
+    p.arrive(2, "");
+    p.pass(3.0 + SILENT_RUN_S + 2.0);
+    let out = [p.arrive(3, ""), p.pass(1.0)].concat();
+    assert!(runs(&out) == 1, "{out:?}");
+}
+
+/// Whatever happens in whatever order: one answer each, and one run a key and window.
+#[test]
+fn every_request_has_one_answer_and_every_key_one_run() {
+    for seed in 0..20u64 {
+        let (mut p, mut dice) = (Play::new(), seed.wrapping_mul(77) + 5);
+        let mut roll = |n: u64| {
+            dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            (dice >> 33) % n
+        };
+        let (mut seen, mut key_runs) = (HashMap::new(), HashMap::new());
+        let (mut count, mut keys) = (0, HashMap::new());
+        for _ in 0..1500 {
+            p.now += 0.004;
+            let some: Rc<str> = format!("r{}", roll(count + 1)).into();
+            let reply = || Some(Rc::from(*b"!"));
+            let outcomes = [Outcome::Ok, Outcome::Error, Outcome::Stopped, Outcome::Broken];
+            let outcome = outcomes[roll(4) as usize];
+            let out = match roll(8) {
+                0..=2 if p.now < 4.0 => {
+                    let key = ["", "a", "b", "c"][roll(4) as usize];
+                    keys.insert(format!("r{count}"), key);
+                    count += 1;
+                    p.arrive(count - 1, key)
+                }
+                3 => p.tell(Input::AtCall { name: some, body: Rc::from([]), mark: 1 }),
+                4 => p.tell(Input::CallEnded { name: some, outcome, reply: reply() }),
+                5 => p.tell(Input::RunEnded { name: some, outcome, result: reply() }),
+                _ => p.tell(Input::Woken(Gauges::default())),
+            };
+            for command in &out {
+                match command {
+                    Command::Answer(ticket, _) => *seen.entry(ticket.0).or_insert(0) += 1,
+                    Command::Run { name, .. } if !keys[&**name].is_empty() => {
+                        *key_runs.entry(keys[&**name]).or_insert(0) += 1;
+                    }
+                    _ => {}
+                }
+            }
+        }
+        for (ticket, _) in answers(&p.pass(5.0)) {
+            *seen.entry(ticket).or_insert(0) += 1;
+        }
+        assert_eq!(p.core.owed(), 0, "seed {seed}");
+        assert!((0..count).all(|n| seen.get(&n) == Some(&1)), "seed {seed}: {seen:?}");
+        assert!(key_runs.values().all(|n| *n == 1), "seed {seed}: {key_runs:?}");
+    }
+}
+
+mod figures {
+    use super::*;
+    use proptest::prelude::*;
+    use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+    /// Taken = served + refused + failed + in hand, at any instant, whatever happens in whatever order.
+    #[test]
+    fn each_request_is_counted_once_and_at_any_instant() {
+        let config = Config { cases: 60, failure_persistence: None, ..Config::default() };
+        let dice = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+        let step = (0..10u8, 0..60u64, 0..4usize, 1..40u32);
+        let steps = proptest::collection::vec(step, 1..400);
+        let mut runner = TestRunner::new_with_rng(config, dice);
+        let ran = runner.run(&steps, |steps| {
+            let (mut p, mut taken, mut started) = (Play::new(), 0, 0);
+            for (what, number, which, ms) in steps {
+                p.now += f64::from(ms) / 1000.0;
+                let some: Rc<str> = format!("r{number}").into();
+                let outcome = [Outcome::Ok, Outcome::Error, Outcome::TooLate, Outcome::Stopped][which];
+                let body: Rc<[u8]> = Rc::from(*b"!");
+                let out = match what {
+                    // Names come again while they are open, keys again and again, now and then with another body.
+                    0..=3 => {
+                        taken += 1;
+                        let mut request = request(number, ["", "a", "b", "c"][which]);
+                        request.ticket = Ticket(taken);
+                        request.patience_s = f64::from(ms) / 10.0;
+                        if number == 7 {
+                            request.body = body;
+                        }
+                        p.tell(Input::Arrived(request))
+                    }
+                    4 => p.tell(Input::Gone(Ticket(number))),
+                    5 => p.tell(Input::NeverRan { name: some }),
+                    6 => p.tell(Input::RunsLost),
+                    7 => p.tell(Input::InDoubt { from: p.now - 0.1, to: p.now + 0.1 }),
+                    8 => p.tell(Input::Woken(Gauges::default())),
+                    _ => p.tell(Input::RunEnded { name: some, outcome, result: Some(body) }),
+                };
+                // What is given again after a break is the same run.
+                started += if what == 7 { 0 } else { runs(&out) as u64 };
+                let counts = p.core.figures().classes();
+                let ended: u64 = counts.iter().map(|c| c.ended()).sum();
+                prop_assert_eq!(taken, ended + p.core.owed() as u64);
+                prop_assert_eq!(p.core.owed(), p.core.tickets.len());
+                prop_assert_eq!(started, counts.iter().map(|c| c.dispatches).sum::<u64>());
+            }
+            p.pass(12.0);
+            prop_assert_eq!(p.core.owed(), 0);
+            Ok(())
+        });
+        ran.unwrap();
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -5,6 +5,7 @@
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::fd::AsRawFd;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{channel, Receiver};
@@ -73,6 +74,34 @@
     folder: std::path::PathBuf,
 }
 
+/// What the platform holds for a worker and its successors: the listening socket, and the folder that they share.
+pub struct Door {
+    pub listener: TcpListener,
+    pub folder: std::path::PathBuf,
+}
+
+impl Door {
+    pub fn new() -> Door {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        // Every process that is started from here on inherits it.
+        rustix::io::fcntl_setfd(&listener, rustix::io::FdFlags::empty()).unwrap();
+        let folder = std::env::temp_dir().join(format!("honeypost-door-{}-{}", std::process::id(), name()));
+        std::fs::create_dir_all(&folder).unwrap();
+        Door { listener, folder }
+    }
+
+    /// Where a worker waits for its successor.
+    pub fn socket(&self) -> std::path::PathBuf {
+        self.folder.join("honeypost-handover.sock")
+    }
+}
+
+impl Drop for Door {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 /// A small site: `look` is safe and calls below, `order` is keyed; one tenant, two cores.
 pub fn settings() -> Value {
     json!({
@@ -110,6 +139,18 @@
         Site::run(command, |_| {}, None)
     }
 
+    /// Starts a worker at a door that the platform holds, beside whichever workers it has let in before.
+    pub fn at(door: &Door, change: impl FnOnce(&mut Value)) -> Site {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_honeypost"));
+        command.env("ROUTER_SOCKET_FD", door.listener.as_raw_fd().to_string()).env("TMPDIR", &door.folder);
+        let change = |c: &mut Value| {
+            c["listen"] = json!(door.listener.local_addr().unwrap());
+            c["console"] = json!("127.0.0.1:0");
+            change(c);
+        };
+        Site::run(command, change, None)
+    }
+
     fn run(mut command: Command, change: impl FnOnce(&mut Value), operator: Option<&str>) -> Site {
         let executor = TcpListener::bind("127.0.0.1:0").unwrap();
         let records = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -160,7 +201,8 @@
 
     fn address(&mut self, mark: &str) -> SocketAddr {
         let line = self.wait_log(mark);
-        line.split(mark).nth(1).unwrap().trim().parse().unwrap()
+        let address = line.split(mark).nth(1).unwrap();
+        address.split(',').next().unwrap().trim().parse().unwrap()
     }
 
     /// Waits for a line of the worker's log.
@@ -188,10 +230,16 @@
 
     /// Links up as an executor that is warm.
     pub fn link(&self) -> Executor {
+        let executor = self.link_silently();
+        self.wait_beat("ready");
+        executor
+    }
+
+    /// Links up as an executor that is warm, whether or not the worker reports yet.
+    pub fn link_silently(&self) -> Executor {
         let mut executor = Executor::accept(&self.executor);
         assert_eq!(executor.next("JOIN")["n"], 0);
         executor.say(json!({"type": "WELCOME", "state": "LOADED", "took": 3_600_000.0}));
-        self.wait_beat("ready");
         executor
     }
 
@@ -235,6 +283,17 @@
         self.signal("TERM");
     }
 
+    /// Kills it outright, and waits for its end.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Stops it in the middle of whatever it does, or lets it go on.
+    pub fn hang(&self, hung: bool) {
+        self.signal(if hung { "STOP" } else { "CONT" });
+    }
+
     fn signal(&self, name: &str) {
         let id = self.child.id();
         assert!(Command::new("sh").arg("-c").arg(format!("kill -{name} {id}")).status().unwrap().success());
@@ -337,19 +396,31 @@
 
     /// The next command that is no question for the gauges.
     pub fn command(&mut self) -> Value {
+        self.command_or_end().expect("the link was closed")
+    }
+
+    /// The same, or the end of the link.
+    pub fn command_or_end(&mut self) -> Option<Value> {
         let until = Instant::now() + PATIENCE;
         loop {
             assert!(Instant::now() < until, "no command but questions for the gauges");
             let mut line = String::new();
-            assert!(self.reader.read_line(&mut line).expect("a command") > 0, "the link was closed");
+            match self.reader.read_line(&mut line) {
+                Ok(0) => return None,
+                Err(e) if e.kind() == ErrorKind::ConnectionReset => return None,
+                read => read.expect("a command"),
+            };
             let command: Value = serde_json::from_str(&line).unwrap();
             if command["type"] == "EXEC" && self.started.contains(&command["job"]) {
                 continue;
             }
             if command["type"] != "METER" {
-                return command;
+                return Some(command);
+            }
+            let gauges = json!({"type": "METERS", "ref": command["ref"], "gauges": [0.5, 1, 0.1, 3]});
+            if self.reader.get_ref().write_all(format!("{gauges}\n").as_bytes()).is_err() {
+                return None;
             }
-            self.say(json!({"type": "METERS", "ref": command["ref"], "gauges": [0.5, 1, 0.1, 3]}));
         }
     }
 
--- /dev/null
+++ b/tests/replacement.rs
@@ -0,0 +1,533 @@
+//! Stories of a worker that is replaced under load: real processes at one door, and scripted ones on the link between.
+
+mod common;
+
+use common::*;
+use honeypost::handover::frame::{Bytes, Frame, Key, KeyEnd, KeyState, VERSION};
+use serde_json::{json, Value};
+use std::io::{Read, Write};
+use std::os::fd::AsRawFd;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::process::Command;
+use std::time::Instant;
+
+/// A scripted process at the other end of the handover link. Descriptors that come with frames are closed unread.
+struct Peer {
+    stream: UnixStream,
+    input: Vec<u8>,
+}
+
+impl Peer {
+    fn on(stream: UnixStream) -> Peer {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Peer { stream, input: Vec::new() }
+    }
+
+    fn connect(door: &Door) -> Peer {
+        Peer::on(UnixStream::connect(door.socket()).unwrap())
+    }
+
+    fn say(&mut self, frame: &Frame) {
+        self.stream.write_all(&frame.encode()).unwrap();
+    }
+
+    fn next(&mut self) -> Frame {
+        loop {
+            if let Some((frame, length)) = Frame::decode(&self.input).unwrap() {
+                self.input.drain(..length);
+                return frame;
+            }
+            let mut bytes = [0; 4096];
+            let n = self.stream.read(&mut bytes).expect("a frame");
+            assert!(n > 0, "the link was closed");
+            self.input.extend_from_slice(&bytes[..n]);
+        }
+    }
+
+    fn hello(&mut self, version: u32) {
+        let (classes, tenants) = (vec!["look".into(), "order".into()], vec!["acme".into()]);
+        self.say(&Frame::Hello { version, name: "n1".into(), classes, tenants });
+    }
+}
+
+fn wait_ready(site: &Site) {
+    let until = Instant::now() + PATIENCE;
+    while site.call("GET", "/-/ready").0 != 200 {
+        assert!(Instant::now() < until, "it never gets ready");
+    }
+}
+
+fn order<'a>(key: &'a str) -> Ask<'a> {
+    Ask { key: Some(key), ..Ask::new("order") }
+}
+
+fn again<'a>(key: &'a str) -> Ask<'a> {
+    Ask { extra: "X-Resent: 1\r\n", ..order(key) }
+}
+
+/// An old process that serves, and its executor.
+fn first(door: &Door) -> (Site, Executor) {
+    let old = Site::at(door, |_| {});
+    let executor = old.link();
+    wait_ready(&old);
+    (old, executor)
+}
+
+/// A new one that has taken over.
+fn second(door: &Door) -> (Site, Executor) {
+    let new = Site::at(door, |_| {});
+    let executor = new.link();
+    wait_ready(&new);
+    (new, executor)
+}
+
+fn job(command: &Value) -> &Value {
+    &command["job"]
+}
+
+#[test]
+fn no_request_ends_at_the_door_and_each_is_answered_where_it_was_asked() {
+    let door = Door::new();
+    let (mut old, mut old_executor) = first(&door);
+    // One connection of each kind: idle, in the middle of a request, with a run, and with one that waits for a slot.
+    let mut idle = Client::connect(old.http);
+    idle.send(&Ask::new("look"));
+    let exec = old_executor.next("EXEC");
+    old_executor.exit(job(&exec), "PASS", "first");
+    assert_eq!(idle.answer().body, b"first");
+    let text = Ask::new("look").text();
+    let mut half = Client::connect(old.http);
+    half.write(&text[..60]);
+    let (mut runs, mut execs) = (Vec::new(), Vec::new());
+    for _ in 0..2 {
+        let mut client = Client::connect(old.http);
+        client.send(&Ask::new("look"));
+        execs.push(old_executor.next("EXEC"));
+        runs.push(client);
+    }
+    let mut held = Client::connect(old.http);
+    held.send(&order("k-held"));
+    while old.figure("svc.concurrent") < 3 {}
+
+    let (new, mut new_executor) = second(&door);
+    assert_eq!(old.call("GET", "/-/ready").0, 503);
+    old.terminate();
+    old.wait_log("told to leave");
+    // The held one runs at the new process, once a slot is free there: both count the old one's runs.
+    for (exec, client) in execs.iter().zip(&mut runs) {
+        old_executor.exit(job(exec), "PASS", "of the old");
+        assert_eq!(client.answer().body, b"of the old");
+    }
+    let exec = new_executor.next("EXEC");
+    assert_eq!(exec["kind"], "order");
+    new_executor.exit(job(&exec), "PASS", "held no more");
+    assert_eq!(held.answer().body, b"held no more");
+    // All connections go on, those of the runs included.
+    half.write(&text[60..]);
+    for (i, client) in [&mut half, &mut idle].into_iter().chain(&mut runs).enumerate() {
+        if i > 0 {
+            client.send(&Ask::new("look"));
+        }
+        let exec = new_executor.next("EXEC");
+        new_executor.exit(job(&exec), "PASS", "of the new");
+        let reply = client.answer();
+        assert_eq!((reply.status, &reply.body[..]), (200, &b"of the new"[..]), "connection {i}");
+    }
+    assert!(old.ended_well());
+    old.wait_log("left with all handed over");
+    // SIGTERM was no notice to drain: the old process never said so.
+    old.registry.set_nonblocking(true).unwrap();
+    let mut bytes = [0; 64];
+    while let Ok(n) = old.registry.recv(&mut bytes) {
+        assert_eq!(&bytes[..n], b"BEAT n1 ready");
+    }
+    assert_eq!(new.figure("svc.replies.look.success"), 4);
+    assert_eq!(new.health(), 200);
+}
+
+#[test]
+fn a_key_runs_once_in_both_processes_together() {
+    let door = Door::new();
+    let (old, mut old_executor) = first(&door);
+    let mut served = Client::connect(old.http);
+    served.send(&order("k-served"));
+    let exec = old_executor.next("EXEC");
+    old_executor.exit(job(&exec), "PASS", "placed 1");
+    served.answer();
+    let mut open = Client::connect(old.http);
+    open.send(&order("k-open"));
+    let exec = old_executor.next("EXEC");
+
+    let (new, mut new_executor) = second(&door);
+    let mut client = Client::connect(new.http);
+    assert_eq!(client.ask(&again("k-served")).body, b"placed 1");
+    let other = Ask { body: "another order", ..again("k-served") };
+    assert_eq!(client.ask(&other).status, 409);
+    let mut client = Client::connect(new.http);
+    client.send(&again("k-open"));
+    new_executor.quiet_but_for(&new, "");
+    assert!(!client.has_answer());
+    old_executor.exit(job(&exec), "PASS", "placed 2");
+    assert_eq!(open.answer().body, b"placed 2");
+    assert_eq!(client.answer().body, b"placed 2");
+    assert_eq!(client.ask(&again("k-open")).body, b"placed 2");
+}
+
+#[test]
+fn a_key_whose_end_died_with_the_old_process_fails_and_never_runs_again() {
+    let door = Door::new();
+    let (mut old, mut old_executor) = first(&door);
+    let mut open = Client::connect(old.http);
+    open.send(&order("k1"));
+    old_executor.next("EXEC");
+    let (new, mut new_executor) = second(&door);
+    let mut client = Client::connect(new.http);
+    client.send(&again("k1"));
+    new_executor.quiet_but_for(&new, "");
+    old.kill();
+    assert_eq!(client.answer().status, 500);
+    assert_eq!(client.ask(&again("k1")).status, 500);
+    // The old process told of all its keys: another one runs.
+    client.send(&again("k2"));
+    let exec = new_executor.next("EXEC");
+    new_executor.exit(job(&exec), "PASS", "placed");
+    assert_eq!(client.answer().body, b"placed");
+}
+
+#[test]
+fn a_new_process_that_dies_before_it_can_serve_changes_nothing() {
+    let door = Door::new();
+    let (mut old, mut old_executor) = first(&door);
+    let mut new = Site::at(&door, |_| {});
+    assert_eq!(new.call("GET", "/-/ready").0, 503);
+    new.kill();
+    old.wait_log("the new process has ended");
+    let mut client = Client::connect(old.http);
+    client.send(&Ask::new("look"));
+    let exec = old_executor.next("EXEC");
+    old_executor.exit(job(&exec), "PASS", "as ever");
+    assert_eq!(client.answer().body, b"as ever");
+    assert_eq!(old.call("GET", "/-/ready").0, 200);
+}
+
+#[test]
+fn what_was_lent_to_a_process_that_died_before_its_word_is_taken_back() {
+    let door = Door::new();
+    let (mut old, mut old_executor) = first(&door);
+    let mut idle = Client::connect(old.http);
+    assert_eq!(idle.ask_check(), 200);
+    let mut clients = Vec::new();
+    let mut execs = Vec::new();
+    for _ in 0..2 {
+        let mut client = Client::connect(old.http);
+        client.send(&Ask::new("look"));
+        execs.push(old_executor.next("EXEC"));
+        clients.push(client);
+    }
+    let mut held = Client::connect(old.http);
+    held.send(&order("k1"));
+    while old.figure("svc.concurrent") < 3 {}
+    let mut peer = Peer::connect(&door);
+    peer.hello(VERSION);
+    assert_eq!(peer.next(), Frame::Welcome);
+    peer.say(&Frame::Take);
+    let mut passed = 0;
+    loop {
+        match peer.next() {
+            Frame::Passed(p) => passed += if p.held.is_some() { 10 } else { 1 },
+            Frame::Done => break,
+            _ => {}
+        }
+    }
+    assert_eq!(passed, 11, "one held request and one idle connection");
+    assert_eq!(old.call("GET", "/-/ready").0, 503);
+    drop(peer);
+    old.wait_log("the door is taken back");
+    assert_eq!(old.call("GET", "/-/ready").0, 200);
+    assert_eq!(idle.ask_check(), 200);
+    for (exec, client) in execs.iter().zip(&mut clients) {
+        old_executor.exit(job(exec), "PASS", "");
+        assert_eq!(client.answer().status, 200);
+    }
+    let exec = old_executor.next("EXEC");
+    old_executor.exit(job(&exec), "PASS", "placed");
+    assert_eq!(held.answer().body, b"placed");
+    assert_eq!(old.figure("svc.replies.order.success"), 1);
+    assert_eq!(old.figure("svc.concurrent"), 0);
+}
+
+#[test]
+fn the_door_goes_back_when_the_new_process_dies_and_unknown_keys_fail_for_a_window() {
+    let door = Door::new();
+    let (mut old, mut old_executor) = first(&door);
+    let (mut new, _new_executor) = second(&door);
+    old.wait_log("the new process has the door");
+    new.kill();
+    old.wait_log("the door is open here");
+    assert_eq!(old.call("GET", "/-/ready").0, 200);
+    old.wait_beat("ready");
+    let mut client = Client::connect(old.http);
+    client.send(&Ask::new("look"));
+    let exec = old_executor.next("EXEC");
+    old_executor.exit(job(&exec), "PASS", "");
+    assert_eq!(client.answer().status, 200);
+    assert_eq!(client.ask(&again("k1")).status, 500);
+    client.send(&order("k2"));
+    let exec = old_executor.next("EXEC");
+    old_executor.exit(job(&exec), "PASS", "placed");
+    assert_eq!(client.answer().body, b"placed");
+    // And it can be replaced again.
+    let (third, _executor) = second(&door);
+    assert_eq!(third.health(), 200);
+    old.terminate();
+    assert!(old.ended_well());
+}
+
+#[test]
+fn a_process_that_hangs_is_not_waited_for_and_gives_all_when_it_wakes() {
+    let door = Door::new();
+    let (mut old, mut old_executor) = first(&door);
+    let mut client = Client::connect(old.http);
+    client.send(&order("k1"));
+    let exec = old_executor.next("EXEC");
+    old_executor.exit(job(&exec), "PASS", "placed 1");
+    client.answer();
+    old.hang(true);
+    let (mut new, mut new_executor) = second(&door);
+    let mut fresh = Client::connect(new.http);
+    fresh.send(&Ask::new("look"));
+    let exec = new_executor.next("EXEC");
+    new_executor.exit(job(&exec), "PASS", "");
+    assert_eq!(fresh.answer().status, 200);
+    // Nobody knows what the old one runs: a key fails, even one that comes for the first time.
+    assert_eq!(fresh.ask(&order("k2")).status, 500);
+    old.hang(false);
+    new.wait_log("all keys are known again");
+    old.wait_log("the new process has the door");
+    let mut fresh = Client::connect(new.http);
+    assert_eq!(fresh.ask(&again("k1")).body, b"placed 1");
+    client.send(&Ask::new("look"));
+    let exec = new_executor.next("EXEC");
+    new_executor.exit(job(&exec), "PASS", "on the old connection");
+    assert_eq!(client.answer().body, b"on the old connection");
+    old.terminate();
+    assert!(old.ended_well());
+}
+
+#[test]
+fn a_stranger_and_a_damaged_word_give_nothing_and_take_nothing() {
+    for damage in [false, true] {
+        let door = Door::new();
+        let listener = UnixListener::bind(door.socket()).unwrap();
+        let mut new = Site::at(&door, |_| {});
+        let mut peer = Peer::on(listener.accept().unwrap().0);
+        assert!(matches!(peer.next(), Frame::Hello { version: VERSION, .. }));
+        let mut executor = new.link_silently();
+        if damage {
+            peer.say(&Frame::Welcome);
+            assert_eq!(peer.next(), Frame::Take);
+            let key = Key { class: 1, tenant: Some(0), key: "k1".into() };
+            let end = KeyEnd::Served(Some(Bytes(std::rc::Rc::from(*b"made up"))));
+            peer.say(&Frame::Key(KeyState { key, print: 0, until_ms: 4e12, end }));
+            peer.stream.write_all(b"\0\0\0\x05\0nonsense").unwrap();
+        } else {
+            peer.say(&Frame::Stranger { why: "too old".into() });
+        }
+        new.wait_log("keys that are not known here fail");
+        wait_ready(&new);
+        let mut client = Client::connect(new.http);
+        assert_eq!(client.ask(&order("k1")).status, 500);
+        client.send(&Ask::new("look"));
+        let exec = executor.next("EXEC");
+        executor.exit(job(&exec), "PASS", "");
+        assert_eq!(client.answer().status, 200);
+        // It is watched all the same: with its end the doubt gets one.
+        let watched = damage.then(|| listener.accept().unwrap());
+        let (link, watched) = (peer, watched);
+        drop((link, watched));
+        if damage {
+            new.wait_log("the old process has ended");
+        }
+    }
+}
+
+#[test]
+fn an_unknown_version_is_told_so_and_the_old_process_serves_on() {
+    let door = Door::new();
+    let (mut old, _executor) = first(&door);
+    let mut peer = Peer::connect(&door);
+    peer.hello(VERSION + 1);
+    assert!(matches!(peer.next(), Frame::Stranger { .. }));
+    peer.say(&Frame::Take);
+    assert_eq!(old.health(), 200);
+    assert_eq!(old.call("GET", "/-/ready").0, 200);
+    drop(peer);
+    // Noise on the link does no more.
+    let mut peer = Peer::connect(&door);
+    peer.stream.write_all(&[0xff; 64]).unwrap();
+    old.wait_log("is damaged");
+    assert_eq!(old.health(), 200);
+}
+
+#[test]
+fn a_socket_file_without_a_process_leaves_further_tries_in_doubt() {
+    let door = Door::new();
+    drop(UnixListener::bind(door.socket()).unwrap());
+    let (mut site, mut executor) = first(&door);
+    site.wait_log("has died");
+    let mut client = Client::connect(site.http);
+    assert_eq!(client.ask(&again("k1")).status, 500);
+    client.send(&order("k2"));
+    let exec = executor.next("EXEC");
+    executor.exit(job(&exec), "PASS", "placed");
+    assert_eq!(client.answer().body, b"placed");
+    // One that leaves in good order leaves no file.
+    site.terminate();
+    assert!(site.ended_well());
+    assert!(!door.socket().exists());
+}
+
+#[test]
+fn a_second_replacement_right_after_the_first_keeps_the_first_ones_runs() {
+    let door = Door::new();
+    let (mut a, mut a_executor) = first(&door);
+    let mut client = Client::connect(a.http);
+    client.send(&order("k1"));
+    let exec = a_executor.next("EXEC");
+    let (mut b, _b_executor) = second(&door);
+    a.terminate();
+    a.wait_log("told to leave");
+    let (c, mut c_executor) = second(&door);
+    b.terminate();
+    b.wait_log("told to leave");
+    let mut late = Client::connect(c.http);
+    late.send(&again("k1"));
+    c_executor.quiet_but_for(&c, "");
+    a_executor.exit(job(&exec), "PASS", "placed");
+    assert_eq!(client.answer().body, b"placed");
+    assert_eq!(late.answer().body, b"placed");
+    assert!(a.ended_well() && b.ended_well());
+    client.send(&Ask::new("look"));
+    let exec = c_executor.next("EXEC");
+    c_executor.exit(job(&exec), "PASS", "two hops on");
+    assert_eq!(client.answer().body, b"two hops on");
+}
+
+#[test]
+fn a_drain_goes_over_with_the_door_and_reaches_it_by_the_old_console() {
+    let door = Door::new();
+    let (mut old, _old_executor) = first(&door);
+    assert_eq!(old.call("POST", "/-/drain").0, 200);
+    let new = Site::at(&door, |_| {});
+    let _new_executor = new.link_silently();
+    wait_ready(&new);
+    assert_eq!(new.health(), 503);
+    new.wait_beat("draining");
+    old.reload(|c| c["stop_ms"] = json!(7000));
+    assert_eq!(old.call("POST", "/-/resume").0, 200);
+    new.wait_beat("ready");
+    assert_eq!(new.health(), 200);
+}
+
+#[test]
+fn a_descriptor_that_does_not_listen_is_one_line_and_a_bad_end() {
+    let folder = std::env::temp_dir().join(format!("honeypost-fd-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let config = json!({
+        "name": "n1", "listen": "127.0.0.1:0", "executor": "127.0.0.1:9", "settings": settings()
+    });
+    std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
+    let file = std::fs::File::open(folder.join("config.json")).unwrap();
+    rustix::io::fcntl_setfd(&file, rustix::io::FdFlags::empty()).unwrap();
+    for number in ["nonsense", "1", "987654", &file.as_raw_fd().to_string()] {
+        let ended = Command::new(env!("CARGO_BIN_EXE_honeypost"))
+            .env("ROUTER_CONFIG", folder.join("config.json"))
+            .env("ROUTER_SOCKET_FD", number)
+            .output()
+            .unwrap();
+        let text = String::from_utf8(ended.stderr).unwrap();
+        assert_eq!(ended.status.code(), Some(2), "{number}: {text}");
+        assert!(text.contains("ROUTER_SOCKET_FD") && text.lines().count() == 1, "{number}: {text}");
+    }
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn without_a_folder_to_meet_in_it_serves_as_the_first_process() {
+    for folder in ["", "/nowhere/at/all"] {
+        let mut door = Door::new();
+        let kept = std::mem::replace(&mut door.folder, folder.into());
+        let (mut site, _executor) = first(&door);
+        assert_eq!(site.health(), 200);
+        let line = |l: &String| l.contains("can't replace") || l.contains("can't be replaced");
+        let said = site.log.iter().any(line) || site.find_log("replaced").is_some();
+        assert!(said, "{:?}", site.log);
+        door.folder = kept;
+    }
+}
+
+/// Runs whatever it is given until its link ends; returns the bodies of all orders that it ran.
+fn run_all(mut executor: Executor) -> std::thread::JoinHandle<Vec<String>> {
+    std::thread::spawn(move || {
+        let mut ran = Vec::new();
+        while let Some(command) = executor.command_or_end() {
+            if command["type"] == "EXEC" {
+                if command["kind"] == "order" {
+                    ran.push(command["data"].as_str().unwrap().to_owned());
+                }
+                std::thread::sleep(std::time::Duration::from_millis(2));
+                executor.exit(job(&command), "PASS", "result");
+            }
+        }
+        ran
+    })
+}
+
+#[test]
+fn under_load_three_replacements_close_on_nobody_and_run_no_key_twice() {
+    use std::sync::atomic::{AtomicBool, Ordering};
+    let door = Door::new();
+    let (old, executor) = first(&door);
+    let mut executors = vec![run_all(executor)];
+    let (http, over) = (old.http, std::sync::Arc::new(AtomicBool::new(false)));
+    let clients: Vec<_> = (0..6)
+        .map(|n| {
+            let over = over.clone();
+            std::thread::spawn(move || {
+                let mut client = Client::connect(http);
+                let (mut served, mut round) = (0, 0);
+                while !over.load(Ordering::Relaxed) {
+                    round += 1;
+                    // Each order comes twice, the second time perhaps at another process than the first.
+                    let key = format!("k{n}-{round}");
+                    for ask in [order(&key), again(&key)] {
+                        let reply = client.ask(&Ask { body: &key, ..ask });
+                        assert!(matches!(reply.status, 200 | 503), "{reply:?}");
+                        served += u32::from(reply.status == 200);
+                    }
+                    assert!(matches!(client.ask(&Ask::new("look")).status, 200 | 503));
+                }
+                served
+            })
+        })
+        .collect();
+    let mut current = old;
+    for _ in 0..3 {
+        std::thread::sleep(std::time::Duration::from_millis(150));
+        let (new, executor) = second(&door);
+        executors.push(run_all(executor));
+        current.terminate();
+        assert!(current.ended_well());
+        current = new;
+    }
+    over.store(true, Ordering::Relaxed);
+    let served: u32 = clients.into_iter().map(|c| c.join().unwrap()).sum();
+    assert!(served > 100, "{served} orders were served");
+    assert_eq!(current.figure("svc.concurrent"), 0);
+    drop(current);
+    let mut ran: Vec<String> = executors.into_iter().flat_map(|e| e.join().unwrap()).collect();
+    let all = ran.len();
+    ran.sort();
+    ran.dedup();
+    assert_eq!(ran.len(), all, "some key ran twice");
+}
