Let a successor believe only what can have been measured, and hold what it is sent in bounds

Need: whatever another process chooses needs a bound. Learned values that are not finite and positive are let pass with one line; keys link no longer than a window that begins now; a held request without a class or tenant here is closed instead of lying unanswered; too many frames before the word end the handover.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -399,7 +399,10 @@
                 self.beside = (on_cores, calling, kb);
                 events.push_back(Event::Beside { on_cores, calling, kb });
             }
-            Input::Learned(learned) => events.push_back(Event::Learned(learned)),
+            Input::Learned(learned) if learned.is_sound() => events.push_back(Event::Learned(learned)),
+            Input::Learned(_) => {
+                out.push(Command::Log("what the old process learned makes no sense".to_owned()))
+            }
         }
     }
 
--- a/src/core/tests/lending.rs
+++ b/src/core/tests/lending.rs
@@ -202,7 +202,8 @@
     assert_eq!((pair.old.core.owed(), pair.new.core.owed()), (2, 2));
     // Both count the old core's runs.
     assert_eq!(pair.runs.len(), 2);
-    assert_eq!(pair.old.core.usage().0, 2);
+    // What a third process would be told is the use of both.
+    assert_eq!((pair.old.core.usage().0, pair.new.core.usage().0), (2, 2));
     pair.end(0, Outcome::Ok);
     pair.end(0, Outcome::Ok);
     while pair.hear() {}
@@ -235,3 +236,50 @@
     let out = pair.new.tell(Input::Arrived(Request { ticket: Ticket(9), ..request(1, "") }));
     assert_eq!(out, vec![Command::Answer(Ticket(9), Answer::Conflict)]);
 }
+
+/// Tries waited for an end that had come, until their own time was over.
+#[test]
+fn the_end_of_a_key_in_the_other_process_reaches_its_tries_at_once() {
+    for (outcome, answer) in
+        [(Outcome::Ok, served(b"done")), (Outcome::Error, Answer::Failed), (Outcome::TooLate, refused())]
+    {
+        let mut pair = Pair::new();
+        pair.arrive(1, "k");
+        pair.lend();
+        pair.arrive(2, "k");
+        assert!(pair.new.core.knows("r2") && pair.words.is_empty());
+        pair.end(0, outcome);
+        let Some(Word::Key(news)) = pair.words.pop_front() else { panic!("no news of the key") };
+        let out = pair.new.tell(Input::Key(news));
+        assert_eq!(answers(&out), vec![(2, answer)], "{outcome:?}");
+        // Only what never ran may run again.
+        let again = pair.new.arrive(3, "k");
+        assert_eq!(runs(&again), usize::from(outcome == Outcome::TooLate));
+    }
+}
+
+#[test]
+fn a_successor_knows_what_was_learned_and_no_more_runs_than_the_cores_survive() {
+    let mut p = Play::new();
+    for number in 1..=40 {
+        p.arrive(number, "");
+        p.now += 0.1;
+        p.end(number, Outcome::Ok, b"x");
+    }
+    let learned = p.core.lend(p.now, |_| true, &mut Vec::new()).learned;
+    assert!((0.05..0.3).contains(&(learned.paces[0].0 / learned.paces[0].1)), "{learned:?}");
+    let mut new = Play::new();
+    new.tell(Input::Learned(learned.clone()));
+    assert_eq!(new.core.lend(0.0, |_| true, &mut Vec::new()).learned, learned);
+    // What can't have been measured is let pass.
+    let mut new = Play::new();
+    let before = new.core.lend(0.0, |_| true, &mut Vec::new()).learned;
+    new.core.end_lending();
+    new.tell(Input::Learned(Learned { usual_s: f64::NAN, ..learned.clone() }));
+    new.tell(Input::Learned(Learned { paces: vec![(-1.0, 0.0, [0.0; 5])], ..learned.clone() }));
+    assert_eq!(new.core.lend(0.0, |_| true, &mut Vec::new()).learned, before);
+    let mut new = Play::new();
+    new.tell(Input::Learned(Learned { runs: 1_000_000, ..learned }));
+    let most = new.core.lend(0.0, |_| true, &mut Vec::new()).learned.runs;
+    assert!(most <= 16, "{most}");
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -250,6 +250,18 @@
     pub calls: (f64, f64),
 }
 
+impl Learned {
+    /// Whether it can have been measured: anything else would spoil every later decision.
+    pub fn is_sound(&self) -> bool {
+        let paces = self.paces.iter().flat_map(|p| [p.0, p.1].into_iter().chain(p.2));
+        let others = [self.usual_s, self.call_room, self.call_s, self.calls.0, self.calls.1];
+        paces.chain(others).all(|n| n.is_finite() && n >= 0.0)
+            && self.paces.iter().all(|p| p.1 > 0.0)
+            && self.usual_s > 0.0
+            && self.call_room > 0.0
+    }
+}
+
 /// What happens to a worker.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/src/net/replacing.rs
+++ b/src/net/replacing.rs
@@ -18,6 +18,8 @@
 const LONGEST_LEAST_S: f64 = 3.0;
 const KILL_AFTER_S: f64 = 0.7;
 const END_MARGIN_S: f64 = 0.1;
+/// Keys that one process can tell another of.
+const KEYS_MOST: usize = 100_000;
 /// Descriptors that a process holds beside its budget: standard streams, the loop's, links.
 const OVERHEAD: usize = 10;
 
@@ -89,12 +91,13 @@
     }
 }
 
-fn to_news(state: KeyState, zero_ms: f64) -> KeyNews {
+/// `latest` is the end of the longest window that may begin now: no key links for longer.
+fn to_news(state: KeyState, zero_ms: f64, latest: f64) -> KeyNews {
     let Key { class, tenant, key } = state.key;
     KeyNews {
         name: KeyName { class, tenant, key },
         print: state.print,
-        until: (state.until_ms - zero_ms) / 1000.0,
+        until: ((state.until_ms - zero_ms) / 1000.0).min(latest),
         progress: match state.end {
             KeyEnd::Open => Some(Progress::Open),
             KeyEnd::Served(result) => Some(Progress::Served(result.map(|b| b.0))),
@@ -139,6 +142,11 @@
 }
 
 impl Worker {
+    /// How long a key links tries at most: its window, and what the module adds to be safe.
+    fn longest_window_s(&self) -> f64 {
+        self.settings.classes.iter().map(|c| c.window_s).fold(0.0, f64::max) + 1.0
+    }
+
     /// Whether clients are let in.
     pub(super) fn door_open(&self) -> bool {
         self.replacement.as_ref().map_or(true, |r| r.door.is_open())
@@ -226,7 +234,12 @@
             }
             Frame::State { .. } => r.stash.state = Some(frame),
             Frame::Key(state) if adopted => {
-                inputs.push(Input::Key(to_news(state, zero_ms(&self.clock))));
+                inputs.push(Input::Key(to_news(state, zero_ms(&self.clock), now + self.longest_window_s())));
+            }
+            // More than a process can have: no port worker is speaking.
+            _ if r.stash.keys.len() > KEYS_MOST || r.stash.passed.len() > self.config.limits.sockets => {
+                self.log.line("handover: the old process says too much");
+                self.door(now, Event::Estranged, inputs);
             }
             Frame::Key(state) => r.stash.keys.push(state),
             Frame::Usage(usage) if adopted => self.beside(usage, inputs),
@@ -370,7 +383,8 @@
             self.drain(draining);
         }
         let zero = zero_ms(&self.clock);
-        inputs.extend(stash.keys.drain(..).map(|state| Input::Key(to_news(state, zero))));
+        let latest = now + self.longest_window_s();
+        inputs.extend(stash.keys.drain(..).map(|state| Input::Key(to_news(state, zero, latest))));
         self.beside(stash.usage, inputs);
         for (passed, descriptor) in stash.passed {
             self.take_over(now, passed, descriptor, inputs);
@@ -389,6 +403,15 @@
     }
 
     fn take_over(&mut self, now: f64, passed: Passed, stream: OwnedFd, inputs: &mut Vec<Input>) {
+        let s = &self.config.settings;
+        let fits = |h: &Held| {
+            let known = h.class < s.profiles.len() && h.tenant.map_or(true, |t| t < s.tenants.len());
+            known && [h.kb, h.arrived_ms, h.due_ms].iter().all(|n| n.is_finite() && *n >= 0.0)
+        };
+        // The module lets pass what it can't place, and nobody would answer it.
+        if passed.held.as_ref().is_some_and(|held| !fits(held)) {
+            return self.log.often("handover: a request that was handed over fits no class or tenant");
+        }
         let Passed { unread, continued, asked, close, held } = passed;
         let parcel = Parcel { stream, unread: unread.0.to_vec(), asked, close, memory: continued };
         let Some(id) = self.http.connections.adopt(now, parcel, held.is_some()) else {
