--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -132,6 +132,10 @@
     pub worker: Option<PathBuf>,
     /// On loopback: callers speak HTTP/2 with so many streams a connection, to the `[http2]` of the operator's file.
     pub http2_streams: Option<usize>,
+    /// On loopback: operators ask for the figures this often (milliseconds), beside so many holders of connections.
+    pub console_every_ms: Option<f64>,
+    #[serde(default)]
+    pub console_holders: usize,
 }
 
 /// A bound that must hold for a variant's mean over all seeds.
@@ -168,7 +172,7 @@
 }
 
 /// What `[[expect]]` may name.
-pub const METRICS: [&str; 10] = [
+pub const METRICS: [&str; 13] = [
     "in_aim",
     "refused",
     "worth",
@@ -179,6 +183,9 @@
     "memory_growth",
     "p99_ms",
     "cpu_ms",
+    "console_p99_ms",
+    "console_most_ms",
+    "console_bad",
 ];
 
 impl Experiment {
@@ -218,6 +225,11 @@
                 positive(format!("class {:?}: {key}", c.name), n)?;
             }
         }
+        for v in &e.variant {
+            if let Some(ms) = v.console_every_ms {
+                positive(format!("variant {:?}: console_every_ms", v.name), ms)?;
+            }
+        }
         for s in e.slow.iter().chain(&e.stall) {
             positive("slow.times".into(), s.times)?;
         }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -5,6 +5,7 @@
 //! the worker's own core, [`sockets`] on loopback round a real worker. [`measure`] makes tables of what they saw.
 
 pub mod callers;
+pub mod console;
 pub mod executor;
 pub mod experiment;
 pub mod http2;
--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -55,6 +55,10 @@
     pub memory_growth: f64,
     /// Processor time of the worker a request (milliseconds); 0 where none was read.
     pub cpu_ms: f64,
+    /// Calls of the console: how long they took (milliseconds), how many were made, and how many went badly.
+    pub console: [f64; 3],
+    pub console_made: u64,
+    pub console_bad: u64,
     /// The limit over time, where pools are on: seconds, slots, cause; on loopback as far as the log tells.
     pub limits: Vec<(f64, usize, String)>,
     /// What each pool started and turned away, all tries counted, where pools are on.
@@ -137,6 +141,9 @@
             "owed" => self.owed as f64,
             "memory_growth" => self.memory_growth,
             "cpu_ms" => self.cpu_ms,
+            "console_p99_ms" => self.console[1],
+            "console_most_ms" => self.console[2],
+            "console_bad" => self.console_bad as f64,
             "p99_ms" => classes().map(|c| c.p99_ms).fold(0.0, f64::max),
             _ => f64::NAN,
         }
@@ -244,6 +251,17 @@
              cpu {cpu:.3} ms | | | |",
             variant.name
         );
+        let made: u64 = own.iter().map(|p| p.console_made).sum();
+        if made > 0 {
+            let most = own.iter().map(|p| p.console[2]).fold(0.0, f64::max);
+            let (p50, p99) = (mean(&|p| p.console[0]).0, mean(&|p| p.console[1]).0);
+            let bad: u64 = own.iter().map(|p| p.console_bad).sum();
+            let _ = writeln!(
+                text,
+                "| {} | console | calls {made} | bad {bad} | p50 {p50:.2} ms | p99 {p99:.2} ms | most {most:.2} ms | | | |",
+                variant.name
+            );
+        }
     }
     text
 }
--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -4,6 +4,7 @@
 //! and its callers. What callers send is drawn ahead, so that two variants get the same requests at the same times.
 
 use crate::callers::{again, draw, Asked};
+use crate::console::{self, Calls};
 use crate::executor::{Executor, Notice, Work};
 use crate::experiment::{ClassModel, Experiment, Variant};
 use crate::http2;
@@ -82,23 +83,31 @@
 /// Plays one variant with one seed against a worker's program.
 pub fn play(experiment: &Experiment, variant: &Variant, seed: u64, worker: &Path) -> Result<Play, String> {
     let asked = Arc::new(draw(experiment, seed));
-    let over = Arc::new(AtomicBool::new(false));
+    let (over, called) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
     let (executor_door, executor_at) = listener()?;
     let (records_door, records_at) = listener()?;
     let registry = UdpSocket::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
     let registry_at = registry.local_addr().map_err(|e| e.to_string())?;
-    let config = experiment.config(
+    let mut config = experiment.config(
         "127.0.0.1:0",
         &executor_at.to_string(),
         &records_at.to_string(),
         &registry_at.to_string(),
     );
+    if variant.console_every_ms.is_some() {
+        config["console"] = json!("127.0.0.1:0");
+    }
     // The play begins when the worker is up; what is before that is time below 0, which the models never see.
     let clock = Clock(Instant::now() + Duration::from_millis(700));
     let executor = serve_executor(executor_door, experiment, clock, &over);
     serve_records(records_door, experiment, clock, &over);
     let mut child = Worker::start(variant.worker.as_deref().unwrap_or(worker), &config, &variant.operator)?;
+    let console = match variant.console_every_ms {
+        Some(every_ms) => Some((child.address("console on ")?, every_ms)),
+        None => None,
+    };
     let address = child.address("http on ")?;
+    let console = console.map(|(at, every_ms)| console::watch(at, every_ms, variant.console_holders, &called));
     clock.sleep_until(0.0);
     let ends = Arc::new(Mutex::new(vec![None; asked.len()]));
     let doors = match variant.http2_streams {
@@ -115,10 +124,17 @@
         let _ = door.join();
     }
     let (memory_after, cpu_after) = (child.resident_kb(), child.cpu_ms());
+    called.store(true, Ordering::Relaxed);
+    let calls = match console {
+        Some(calls) => calls.join().map_err(|_| "the console's thread ended badly".to_owned())?,
+        None => Calls::default(),
+    };
     let lines = child.leave()?;
     over.store(true, Ordering::Relaxed);
     let executor = executor.join().map_err(|_| "the executor's thread ended badly".to_owned())?;
     let mut play = Play::of(experiment, &variant.name, seed, &asked, &lock(&ends));
+    play.console = [calls.p50_ms, calls.p99_ms, calls.most_ms];
+    (play.console_made, play.console_bad) = (calls.made, calls.bad);
     play.crowd_of_bound = executor.crowd_mean(CROWD_S) / CROWD_BOUND;
     play.most_on_cores = executor.most_on_cores;
     play.memory_growth = memory_after / memory.max(1.0);
