--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -107,7 +107,8 @@
         None => None,
     };
     let address = child.address("http on ")?;
-    let console = console.map(|(at, every_ms)| console::watch(at, every_ms, variant.console_holders, &called));
+    let console =
+        console.map(|(at, every_ms)| console::watch(at, every_ms, variant.console_holders, &called));
     clock.sleep_until(0.0);
     let ends = Arc::new(Mutex::new(vec![None; asked.len()]));
     let doors = match variant.http2_streams {
