--- a/examples/toy_site.rs
+++ b/examples/toy_site.rs
@@ -41,7 +41,8 @@
 }
 
 fn main() -> std::io::Result<()> {
-    let executor = TcpListener::bind("127.0.0.1:7300")?;
+    // The second address is for a process that replaces the first: each numbers its own notices.
+    let executors = [TcpListener::bind("127.0.0.1:7300")?, TcpListener::bind("127.0.0.1:7301")?];
     let records = TcpListener::bind("127.0.0.1:8900")?;
     let registry = UdpSocket::bind("127.0.0.1:2379")?;
     thread::spawn(move || {
@@ -54,11 +55,17 @@
         }
     });
     println!("the toy site is up");
-    let book = Arc::new(Mutex::new(Book::default()));
-    for link in executor.incoming().flatten() {
-        if let Err(e) = serve_link(link, &book) {
-            println!("executor: link ended: {e}");
+    let serve = |executor: TcpListener| {
+        let book = Arc::new(Mutex::new(Book::default()));
+        for link in executor.incoming().flatten() {
+            if let Err(e) = serve_link(link, &book) {
+                println!("executor: link ended: {e}");
+            }
         }
+    };
+    let threads = executors.map(|executor| thread::spawn(move || serve(executor)));
+    for thread in threads {
+        thread.join().expect("no executor's thread panics");
     }
     Ok(())
 }
--- a/src/handover/frame.rs
+++ b/src/handover/frame.rs
@@ -135,6 +135,8 @@
     Usage(Usage),
     /// A connection.
     Passed(Passed),
+    /// A socket that listens for a front of the operator's file, by the block that sets it up.
+    Listener { front: String },
     /// All of the state has been sent.
     Done,
     /// The successor has all, and the door is open there.
@@ -146,7 +148,7 @@
 impl Frame {
     /// Whether a descriptor comes with it.
     pub fn carries(&self) -> bool {
-        matches!(self, Frame::Passed(_))
+        matches!(self, Frame::Passed(_) | Frame::Listener { .. })
     }
 
     pub fn encode(&self) -> Vec<u8> {
@@ -214,6 +216,7 @@
             Frame::Usage(Usage { on_cores: 3, calling: 1, kb: 0.5, sockets: 9 }),
             Frame::Passed(Passed { unread: Bytes(Rc::from(*b"GET /ch")), ..Passed::default() }),
             Frame::Passed(Passed { held: Some(held), asked: 2, close: true, ..Passed::default() }),
+            Frame::Listener { front: "ajp".into() },
             Frame::Done,
             Frame::Opened,
             Frame::Drain(false),
--- a/src/net/ajp_front.rs
+++ b/src/net/ajp_front.rs
@@ -9,7 +9,7 @@
 use crate::config::{AjpSettings, Identity};
 use crate::core::{Answer, Input, Ticket};
 use crate::interface::Effect;
-use std::io;
+use std::net::TcpListener;
 use std::rc::Rc;
 
 /// A request of which the head has come.
@@ -69,15 +69,20 @@
 struct Reject(u16, &'static str);
 
 impl AjpFront {
-    pub fn bind(
-        poll: &Poll,
-        settings: AjpSettings,
-        directory: Option<Identity>,
-        seed: u64,
-    ) -> io::Result<AjpFront> {
-        let connections =
-            Connections::bind(poll, settings.listen, Place::AjpListener, Place::Ajp, 2 * PACKET_MOST)?;
-        Ok(AjpFront { connections, settings, directory, seed, named: 0 })
+    /// A front that lets nobody in yet.
+    pub fn shut(poll: &Poll, settings: AjpSettings, directory: Option<Identity>, seed: u64) -> AjpFront {
+        let connections = Connections::shut(poll, Place::Ajp, 2 * PACKET_MOST);
+        AjpFront { connections, settings, directory, seed, named: 0 }
+    }
+
+    /// Lets clients in, at a socket that listens already or at the address of its settings.
+    pub fn open(&mut self, socket: Option<Rc<TcpListener>>) -> Result<(), String> {
+        let listen = self.settings.listen;
+        let opened = match socket {
+            Some(socket) => self.connections.open(&socket, Place::AjpListener),
+            None => self.connections.listen(listen, Place::AjpListener),
+        };
+        opened.map_err(|e| format!("{listen}: {e}"))
     }
 
     /// Accepts and reads; `true` if accepting had to be broken off and wants another look.
@@ -297,7 +302,7 @@
     body: Option<Rc<[u8]>>,
     state: &State,
 ) {
-    c.close |= state.leaving;
+    c.close |= state.ends_connections();
     c.step(now, Stage::Answering);
     let length = body.as_ref().map_or(0, |b| b.len());
     let mut headers = vec![("Content-Length", length.to_string())];
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -199,6 +199,17 @@
         Ok(())
     }
 
+    /// Lets clients in at an address of its own.
+    pub fn listen(&mut self, address: SocketAddr, listener: Place) -> io::Result<()> {
+        self.acceptor = Some(Acceptor::bind(&self.poll, address, listener)?);
+        Ok(())
+    }
+
+    /// The socket that it accepts on.
+    pub fn socket(&self) -> Option<Rc<TcpListener>> {
+        self.acceptor.as_ref().map(Acceptor::socket)
+    }
+
     /// Goes on with a lent connection; `asked` says that its request is in hand.
     pub fn take_back(&mut self, now: f64, id: u64, asked: bool) {
         let Some(c) = self.all.get_mut(&id).filter(|c| c.stage == Stage::Lent) else { return };
--- a/src/net/http2/mod.rs
+++ b/src/net/http2/mod.rs
@@ -17,7 +17,8 @@
 use crate::core::{Answer, Input, Ticket};
 use session::Session;
 use std::collections::HashMap;
-use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
 
 /// What a client says first.
 const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
@@ -48,9 +49,20 @@
 }
 
 impl Http2Front {
-    pub fn bind(poll: &Poll, settings: Http2Settings) -> io::Result<Http2Front> {
-        let connections = Connections::bind(poll, settings.listen, Place::Http2Listener, Place::Http2, ROOM)?;
-        Ok(Http2Front { connections, settings, poll: poll.clone(), owners: HashMap::new() })
+    /// A front that lets nobody in yet.
+    pub fn shut(poll: &Poll, settings: Http2Settings) -> Http2Front {
+        let connections = Connections::shut(poll, Place::Http2, ROOM);
+        Http2Front { connections, settings, poll: poll.clone(), owners: HashMap::new() }
+    }
+
+    /// Lets clients in, at a socket that listens already or at the address of its settings.
+    pub fn open(&mut self, socket: Option<Rc<TcpListener>>) -> Result<(), String> {
+        let listen = self.settings.listen;
+        let opened = match socket {
+            Some(socket) => self.connections.open(&socket, Place::Http2Listener),
+            None => self.connections.listen(listen, Place::Http2Listener),
+        };
+        opened.map_err(|e| format!("{listen}: {e}"))
     }
 
     pub fn owns(&self, ticket: Ticket) -> bool {
--- a/src/net/http2/session.rs
+++ b/src/net/http2/session.rs
@@ -163,7 +163,7 @@
                 Poll::Ready(Ok(connection)) => self.codec = Codec::Open(Box::new(connection)),
             }
         }
-        if state.leaving && !self.draining {
+        if state.ends_connections() && !self.draining {
             self.draining = true;
             if let Codec::Open(connection) = &mut self.codec {
                 // GOAWAY with the highest id, a PING, and when that is seen GOAWAY with the last stream taken.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -150,6 +150,11 @@
 }
 
 impl State {
+    /// Whether connections that can't be passed on are told to go.
+    pub fn ends_connections(&self) -> bool {
+        self.leaving || self.passing
+    }
+
     /// What health checks and the registry are told.
     pub fn good(&self) -> bool {
         self.fit && !self.leaving && !self.draining
@@ -216,7 +221,7 @@
     let mut timer_token: Option<RegistrationToken> = None;
     let poll = Poll::new(handle.clone(), config.socket_budget());
     let mut worker = Worker::new(files, config, &poll)?;
-    worker.look_round(worker.clock.now());
+    worker.look_round(worker.clock.now())?;
     let mut gathered = Gathered::default();
     let mut armed = None;
     worker.turn(&mut gathered);
@@ -256,6 +261,8 @@
             |address| Console::bind(poll, address, sockets).map_err(|e| format!("console {address}: {e}"));
         let console = config.console.map(bind).transpose()?;
         let socket = files.socket.as_deref().map(handover::inherited).transpose()?;
+        // Another process may have the operator's addresses, and hand them over.
+        let meets = socket.is_some() && files.folder.is_some();
         let mut http = match &socket {
             Some(_) => HttpFront::shut(poll),
             None => HttpFront::bind(poll, config.listen).map_err(|e| format!("{}: {e}", config.listen))?,
@@ -264,16 +271,21 @@
         let by = operator.directory.as_ref().map(|d| d.identity);
         let ajp = match operator.ajp.clone() {
             Some(ajp) => {
-                let listen = ajp.listen;
-                let front = AjpFront::bind(poll, ajp, by, config.seed_number());
-                Some(front.map_err(|e| format!("{listen}: {e}"))?)
+                let mut front = AjpFront::shut(poll, ajp, by, config.seed_number());
+                if !meets {
+                    front.open(None)?;
+                }
+                Some(front)
             }
             None => None,
         };
         let http2 = match operator.http2.clone() {
             Some(http2) => {
-                let listen = http2.listen;
-                Some(Http2Front::bind(poll, http2).map_err(|e| format!("{listen}: {e}"))?)
+                let mut front = Http2Front::shut(poll, http2);
+                if !meets {
+                    front.open(None)?;
+                }
+                Some(front)
             }
             None => None,
         };
@@ -802,7 +814,7 @@
     fn sweep(&mut self) {
         let now = self.clock.now();
         let closing = self.leaving.as_ref().is_some_and(|l| l.closed.is_some());
-        self.sweep_fronts(now, closing);
+        self.sweep_fronts(now, closing || self.state.passing);
         if let Some(http2) = &mut self.http2 {
             http2.sweep(now, &mut self.left_over);
             self.wheel.set(now, 0.0, Timer::Again);
@@ -819,7 +831,7 @@
         if let Some(console) = &mut self.console {
             console.connections.sweep(now, self.idle_s, false);
         }
-        self.http.connections.sweep(now, self.idle_s, leaving);
+        self.http.connections.sweep(now, self.idle_s, leaving && !self.state.passing);
         if let Some(ajp) = &mut self.ajp {
             ajp.connections.sweep(now, self.idle_s, leaving);
         }
--- a/src/net/poll.rs
+++ b/src/net/poll.rs
@@ -186,6 +186,11 @@
         self.listener.local_addr()
     }
 
+    /// The socket itself, for whoever else is to accept on it.
+    pub fn socket(&self) -> Rc<TcpListener> {
+        self.listener.clone()
+    }
+
     pub fn mark(&mut self) {
         self.waiting = true;
     }
--- a/src/net/replacing.rs
+++ b/src/net/replacing.rs
@@ -18,6 +18,10 @@
 const LONGEST_LEAST_S: f64 = 3.0;
 const KILL_AFTER_S: f64 = 0.7;
 const END_MARGIN_S: f64 = 0.1;
+/// Fronts of an operator's file that have a socket of their own, by their blocks.
+const FRONTS: usize = 2;
+const AJP: &str = "ajp";
+const HTTP2: &str = "http2";
 /// Keys that one process can tell another of.
 const KEYS_MOST: usize = 100_000;
 /// Descriptors that a process holds beside its budget: standard streams, the loop's, links.
@@ -41,6 +45,10 @@
     socket: Rc<TcpListener>,
     stash: Stash,
     lent: Vec<LentRequest>,
+    /// Listening sockets of the operator's fronts: those that were sent, or those that were given away.
+    listeners: Vec<(String, Rc<TcpListener>)>,
+    /// Why a front could not be opened.
+    shut: Option<String>,
     told: Usage,
     /// The new process and this one understand each other.
     welcome: bool,
@@ -63,6 +71,8 @@
             socket,
             stash: Stash::default(),
             lent: Vec::new(),
+            listeners: Vec::new(),
+            shut: None,
             told: Usage::default(),
             welcome: false,
             doubt: Doubt::None,
@@ -158,8 +168,9 @@
     }
 
     /// Looks for a process that serves already, right after the start.
-    pub(super) fn look_round(&mut self, now: f64) {
-        let Some(r) = &mut self.replacement else { return };
+    /// An error is one line about an address of the operator's file that can't be used.
+    pub(super) fn look_round(&mut self, now: f64) -> Result<(), String> {
+        let Some(r) = &mut self.replacement else { return Ok(()) };
         let event = match r.links.seek() {
             Ok(Found::Linked) => Event::Linked,
             Ok(Found::Nobody) => Event::Alone,
@@ -175,6 +186,7 @@
         let mut inputs = Vec::new();
         self.door(now, event, &mut inputs);
         self.left_over.append(&mut inputs);
+        self.replacement.as_mut().and_then(|r| r.shut.take()).map_or(Ok(()), Err)
     }
 
     /// Tells the door what happened and does what it says.
@@ -204,6 +216,9 @@
                     self.poll.set_beside(0);
                     self.door(now, Event::OldLost, inputs);
                     inputs.push(Input::PredecessorGone);
+                    if self.door_open() {
+                        self.open_fronts();
+                    }
                 }
                 Heard::New(frame) => self.new_said(now, frame, inputs),
                 Heard::NewDamaged(why) => {
@@ -252,6 +267,13 @@
                     r.stash.passed.push((passed, descriptor));
                 }
             }
+            Frame::Listener { front } => {
+                if let Some(listener) =
+                    descriptor.map(TcpListener::from).filter(|_| r.listeners.len() < FRONTS)
+                {
+                    r.listeners.push((front, Rc::new(listener)));
+                }
+            }
             Frame::Done => self.door(now, Event::Given, inputs),
             Frame::Drain(on) => self.drain(on),
             _ => self.log.often("handover: the old process said what only a new one says"),
@@ -335,6 +357,7 @@
                     self.http.connections.close(id);
                 }
                 r.links.stop_listening();
+                r.listeners.clear();
                 self.log.line("handover: the new process has the door");
             }
             Act::TakeBack => self.take_back(now, inputs),
@@ -362,12 +385,42 @@
         if let Err(e) = r.links.listen() {
             self.log.line(&format!("handover: this process can't be replaced: {e}"));
         }
+        self.open_fronts();
         self.log.line("handover: the door is open here");
         if self.core.is_some() {
             self.wheel.set(now, 0.0, Timer::Beat);
         }
     }
 
+    /// Lets clients in at the operator's fronts, on sockets that were sent or else at their addresses.
+    fn open_fronts(&mut self) {
+        let Some(r) = &mut self.replacement else { return };
+        let mut sent = std::mem::take(&mut r.listeners);
+        let mut find = |front: &str| {
+            let at = sent.iter().position(|(name, _)| name == front)?;
+            Some(sent.swap_remove(at).1)
+        };
+        let mut opened = Vec::new();
+        if let Some(ajp) = self.ajp.as_mut().filter(|a| a.connections.address().is_none()) {
+            opened.push((AJP, ajp.open(find(AJP)), ajp.connections.address()));
+        }
+        if let Some(http2) = self.http2.as_mut().filter(|h| h.connections.address().is_none()) {
+            opened.push((HTTP2, http2.open(find(HTTP2)), http2.connections.address()));
+        }
+        for (front, result, address) in opened {
+            match (result, address) {
+                (Ok(()), Some(address)) => {
+                    self.log.line(&format!("{}: {front} on {address}", self.config.name))
+                }
+                (Err(e), _) => {
+                    self.log.line(&format!("handover: {front} can't be opened: {e}"));
+                    r.shut = Some(e);
+                }
+                _ => {}
+            }
+        }
+    }
+
     /// Acts on all that the old process has sent.
     fn adopt(&mut self, now: f64, inputs: &mut Vec<Input>) {
         let Some(r) = &mut self.replacement else { return };
@@ -389,6 +442,7 @@
         for (passed, descriptor) in stash.passed {
             self.take_over(now, passed, descriptor, inputs);
         }
+        self.open_fronts();
         self.log.line(&format!(
             "handover: taken over: keys={keys} connections={connections} held={held} runs_beside={}",
             stash.usage.on_cores
@@ -434,14 +488,25 @@
         }
         let zero = zero_ms(&self.clock);
         self.http.connections.stop_listening();
+        self.state.passing = true;
+        let Some(r) = &mut self.replacement else { return };
+        r.listeners.clear();
         if let Some(ajp) = &mut self.ajp {
+            r.listeners.extend(ajp.connections.socket().map(|s| (AJP.to_owned(), s)));
             ajp.connections.stop_listening();
         }
         if let Some(http2) = &mut self.http2 {
+            r.listeners.extend(http2.connections.socket().map(|s| (HTTP2.to_owned(), s)));
             http2.connections.stop_listening();
+            // Each connection is told to go.
+            http2.connections.touch_all();
+        }
+        for (front, socket) in &r.listeners {
+            // Without a descriptor for it the new process binds the address once this one has ended.
+            if let Ok(socket) = socket.try_clone() {
+                r.links.to_new(&Frame::Listener { front: front.clone() }, Some(socket.into()));
+            }
         }
-        self.state.passing = true;
-        let Some(r) = &mut self.replacement else { return };
         let http = &self.http.connections;
         let mut lent = None;
         if let Some(core) = &mut self.core {
@@ -500,8 +565,12 @@
         for id in self.http.connections.ids_where(|c| c.stage == Stage::Lent) {
             self.http.connections.take_back(now, id, false);
         }
-        if let Err(e) = self.http.open(&r.socket) {
-            self.log.line(&format!("handover: the door can't be opened: {e}"));
+        // A drain may have closed it for good.
+        if self.leaving.as_ref().map_or(true, |l| l.closed.is_none()) {
+            if let Err(e) = self.http.open(&r.socket) {
+                self.log.line(&format!("handover: the door can't be opened: {e}"));
+            }
+            self.open_fronts();
         }
         self.wheel.set(now, 0.0, Timer::Beat);
         self.log.line("handover: the door is taken back");
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -141,6 +141,11 @@
 
     /// Starts a worker at a door that the platform holds, beside whichever workers it has let in before.
     pub fn at(door: &Door, change: impl FnOnce(&mut Value)) -> Site {
+        Site::at_with(door, change, None)
+    }
+
+    /// The same with an operator's file. Its fronts may open late, so their addresses are not waited for.
+    pub fn at_with(door: &Door, change: impl FnOnce(&mut Value), operator: Option<&str>) -> Site {
         let mut command = Command::new(env!("CARGO_BIN_EXE_honeypost"));
         command.env("ROUTER_SOCKET_FD", door.listener.as_raw_fd().to_string()).env("TMPDIR", &door.folder);
         let change = |c: &mut Value| {
@@ -148,6 +153,10 @@
             c["console"] = json!("127.0.0.1:0");
             change(c);
         };
+        if let Some(text) = operator {
+            std::fs::write(door.folder.join("operator.toml"), text).unwrap();
+            command.arg("--operator").arg(door.folder.join("operator.toml"));
+        }
         Site::run(command, change, None)
     }
 
--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -531,3 +531,44 @@
     ran.dedup();
     assert_eq!(ran.len(), all, "some key ran twice");
 }
+
+/// Asks an AJP front whether it is there.
+fn cping(stream: &mut std::net::TcpStream) -> bool {
+    let mut answer = [0; 5];
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(&[0x12, 0x34, 0, 1, 10]).is_ok()
+        && stream.read_exact(&mut answer).is_ok()
+        && answer == [b'A', b'B', 0, 1, 9]
+}
+
+#[test]
+fn the_operators_fronts_go_over_with_their_sockets() {
+    let door = Door::new();
+    let (_kept, ajp) = reserve();
+    let (_also, http2) = reserve();
+    drop((_kept, _also));
+    let operator = format!(
+        "[ajp]\nlisten = \"{ajp}\"\n[[ajp.route]]\npath = \"/look\"\nclass = \"look\"\n[http2]\nlisten = \"{http2}\"\n"
+    );
+    let mut old = Site::at_with(&door, |_| {}, Some(&operator));
+    old.wait_log("the door is open here");
+    let _old_executor = old.link();
+    let mut resting = std::net::TcpStream::connect(ajp).unwrap();
+    assert!(cping(&mut resting));
+    let mut new = Site::at_with(&door, |_| {}, Some(&operator));
+    let _new_executor = new.link();
+    wait_ready(&new);
+    new.wait_log(&format!("ajp on {ajp}"));
+    new.wait_log(&format!("http2 on {http2}"));
+    // What rests at the old process is closed, as in a drain; whoever comes is the new one's.
+    assert_eq!(resting.read(&mut [0; 8]).unwrap_or(0), 0);
+    old.terminate();
+    assert!(old.ended_well());
+    assert!(cping(&mut std::net::TcpStream::connect(ajp).unwrap()));
+    let mut client = std::net::TcpStream::connect(http2).unwrap();
+    client.set_read_timeout(Some(PATIENCE)).unwrap();
+    client.write_all(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0").unwrap();
+    let mut frame = [0; 9];
+    client.read_exact(&mut frame).unwrap();
+    assert_eq!(frame[3], 4, "its first frame is SETTINGS");
+}
