--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,13 +13,17 @@
 pub mod handover;
 pub mod http2;
 pub mod http_front;
+mod leaving;
 pub mod meaning;
+mod operating;
 pub mod poll;
 pub mod pool;
 pub mod records;
 pub mod registry;
+mod reloading;
 mod replacing;
 pub mod wheel;
+mod words;
 
 use crate::config::{Config, Files, Operator};
 use crate::core::figures::Figures;
@@ -31,13 +35,14 @@
 use calloop::signals::{Signal, Signals};
 use calloop::timer::{TimeoutAction, Timer as LoopTimer};
 use calloop::{EventLoop, RegistrationToken};
-use console::{Call, Console};
+use console::Console;
 use directory::Directory;
 use executor::{Executor, Welcome};
 use fields::Catalogue;
 use handover::Links;
 use http2::Http2Front;
 use http_front::HttpFront;
+use leaving::Leaving;
 use poll::{Gathered, Place, Poll, ACCEPT_PAUSE_S};
 use records::Records;
 use registry::{Registry, BEAT_S};
@@ -52,12 +57,6 @@
 const SWEEP_S: f64 = 0.25;
 /// Rounds of one turn at most: requests that lie behind answered ones, and outcomes of what was just asked.
 const ROUNDS: usize = 8;
-/// After the grace of a drain, how long crossing requests may still come in before the end (seconds), and how
-/// long before the stop the process ends at the latest.
-const CROSSING_S: f64 = 0.15;
-const STOP_MARGIN_S: f64 = 0.05;
-/// The door closes this long before the stop at the latest, where the grace reaches beyond it (seconds).
-const CLOSE_MARGIN_S: f64 = 0.4;
 /// Kept results may take one part in so many of the memory limit.
 const RESULT_PART: f64 = 8.0;
 /// What callers are told when the executor is not up yet (seconds).
@@ -161,13 +160,6 @@
     }
 }
 
-/// The notice to leave, as this loop follows it.
-struct Leaving {
-    notice: f64,
-    stop: f64,
-    closed: Option<f64>,
-}
-
 /// One port worker.
 pub struct Worker {
     clock: Clock,
@@ -525,66 +517,6 @@
         }
     }
 
-    /// Answers what operators ask, before any front is looked at; `true` if accepting was broken off.
-    fn serve_console(&mut self, now: f64) -> bool {
-        let Some(console) = &mut self.console else { return false };
-        let mut calls = Vec::new();
-        let paused = console.gather(now, &mut calls);
-        for (id, call) in calls {
-            let reply = self.operators_call(call);
-            if let Some(console) = &mut self.console {
-                console.answer(id, now, &reply);
-            }
-        }
-        paused
-    }
-
-    fn operators_call(&mut self, call: Call) -> console::Reply {
-        let linked = self.servers.is_some() || self.executor.linked();
-        match call {
-            Call::Ready if self.state.leaving => console::Reply::new(503, "leaving\n"),
-            Call::Ready if !self.door_open() => {
-                let given = self.given_away();
-                console::Reply::new(
-                    503,
-                    if given { "handed over\n" } else { "waiting for the process before\n" },
-                )
-            }
-            Call::Ready if self.core.is_none() || !linked => {
-                console::Reply::new(503, "no link to the executor\n")
-            }
-            Call::Ready => console::Reply::new(200, "ready\n"),
-            Call::Metrics => {
-                let (counts, concurrent) =
-                    self.core.as_ref().map_or((&self.early, 0), |core| (core.figures(), core.owed()));
-                console::Reply::new(200, console::figures(&self.state.known, counts, concurrent))
-            }
-            Call::Drain => {
-                self.drain(true);
-                console::Reply::new(200, "draining\n")
-            }
-            Call::Resume => {
-                self.drain(false);
-                console::Reply::new(
-                    200,
-                    if self.state.leaving { "leaving all the same\n" } else { "serving\n" },
-                )
-            }
-        }
-    }
-
-    /// Sends clients away, or lets them come again: health and reports change at once, decisions don't.
-    fn drain(&mut self, on: bool) {
-        if self.pass_drain(on) {
-            return;
-        }
-        if self.state.draining != on {
-            self.state.draining = on;
-            self.log.line(if on { "console: draining" } else { "console: the drain has ended" });
-            self.beat(false);
-        }
-    }
-
     /// There is no core before the executor is up: what arrives all the same is turned away, as nothing ran.
     fn turn_away(&mut self, now: f64, inputs: &mut Vec<Input>) {
         for input in inputs.drain(..) {
@@ -732,150 +664,4 @@
             d.flush(now, &mut self.log);
         }
     }
-
-    fn leave(&mut self, now: f64, inputs: &mut Vec<Input>) {
-        if self.given_away() {
-            return self.door(now, Event::Leave, inputs);
-        }
-        if self.leaving.is_some() {
-            return;
-        }
-        self.door(now, Event::Leave, inputs);
-        let in_s = self.config.stop_ms / 1000.0;
-        self.log.line(&format!("notice to leave; {in_s} s to the stop"));
-        self.leaving = Some(Leaving { notice: now, stop: now + in_s, closed: None });
-        // The loop must look at the door, at the end and at the stop even if nothing else wakes it.
-        for after in [self.settings.leave_grace_s, in_s - CLOSE_MARGIN_S, in_s - STOP_MARGIN_S] {
-            self.wheel.set(now, after, Timer::Again);
-        }
-        self.state.leaving = true;
-        inputs.push(Input::Leave { in_s });
-        if let Some(http2) = &mut self.http2 {
-            // Each connection is told to go.
-            http2.connections.touch_all();
-        }
-        self.beat(false);
-    }
-
-    /// Takes up the addresses of a changed configuration. Runs, keys and what is held carry on; calls in hand
-    /// end where they were placed. Guards against a file that is half written or wrong: the old one stays.
-    fn reload(&mut self, now: f64, inputs: &mut Vec<Input>) {
-        self.reload_operator(inputs);
-        let next = match self.files.config() {
-            Ok(next) => next,
-            Err(e) => return self.log.line(&format!("reload: the old configuration stays: {e}")),
-        };
-        let fixed = next.fixed_changes(&self.config);
-        if !fixed.is_empty() {
-            self.log.line(&format!("reload: not taken up before a restart: {}", fixed.join(", ")));
-        }
-        self.config.stop_ms = next.stop_ms;
-        self.executor.move_to(now, next.executor);
-        if let (Some(records), Some(to)) = (&mut self.records, next.records) {
-            records.move_to(to);
-        }
-        if let (Some(registry), Some(to)) = (&mut self.registry, next.registry) {
-            if let Err(e) = registry.move_to(to) {
-                self.log.line(&format!("reload: registry {to}: {e}"));
-            }
-        }
-        self.log.line(&format!("reload: executor {}", next.executor));
-        self.beat(true);
-    }
-
-    /// Takes up the operator's pools anew. They are checked against the settings that this worker serves by, which
-    /// a reload does not change.
-    fn reload_operator(&mut self, inputs: &mut Vec<Input>) {
-        let next = self.files.operator(&self.config).and_then(|next| {
-            let plan = next.pools.as_ref().map(|p| p.plan(&self.config.settings)).transpose()?;
-            Ok((next, plan))
-        });
-        let (next, plan) = match next {
-            Ok(next) => next,
-            Err(e) => return self.log.line(&format!("reload: the old operator's file stays: {e}")),
-        };
-        let fixed = next.fixed_changes(&self.operator);
-        if !fixed.is_empty() {
-            self.log.line(&format!("reload: not taken up before a restart: {}", fixed.join(", ")));
-        }
-        if plan != self.settings.pools {
-            let pools = plan.as_ref().map_or(0, |p| p.pools.len());
-            self.log.line(&format!("reload: pools={pools}"));
-            self.settings.pools = plan.clone();
-            // Before the core is there it will start with them.
-            if self.core.is_some() {
-                inputs.push(Input::Pools(plan));
-            }
-        }
-    }
-
-    /// Closes what is idle or too slow. Only after all that is ready has been read: guards requests that lay unread
-    /// while this process was stopped.
-    fn sweep(&mut self) {
-        let now = self.clock.now();
-        let closing = self.leaving.as_ref().is_some_and(|l| l.closed.is_some());
-        self.sweep_fronts(now, closing || self.state.passing);
-        if let Some(http2) = &mut self.http2 {
-            http2.sweep(now, &mut self.left_over);
-            self.wheel.set(now, 0.0, Timer::Again);
-        }
-        if let Some(s) = &mut self.servers {
-            s.sweep(now);
-        }
-        if let Some(r) = &mut self.records {
-            r.sweep(now);
-        }
-    }
-
-    fn sweep_fronts(&mut self, now: f64, leaving: bool) {
-        if let Some(console) = &mut self.console {
-            console.connections.sweep(now, self.idle_s, false);
-        }
-        self.http.connections.sweep(now, self.idle_s, leaving && !self.state.passing);
-        if let Some(ajp) = &mut self.ajp {
-            ajp.connections.sweep(now, self.idle_s, leaving);
-        }
-        if let Some(http2) = &mut self.http2 {
-            http2.connections.sweep(now, self.idle_s, leaving);
-        }
-    }
-
-    /// Closes the door when nothing more may be run, and ends when all is answered and written.
-    fn follow_leaving(&mut self) {
-        let now = self.clock.now();
-        let grace_s = self.settings.leave_grace_s;
-        let closes =
-            |l: &Leaving| l.closed.is_none() && now >= (l.notice + grace_s).min(l.stop - CLOSE_MARGIN_S);
-        if let Some(leaving) = self.leaving.as_mut().filter(|l| closes(l)) {
-            leaving.closed = Some(now);
-            self.http.connections.stop_listening();
-            if let Some(ajp) = &mut self.ajp {
-                ajp.connections.stop_listening();
-            }
-            if let Some(http2) = &mut self.http2 {
-                http2.connections.stop_listening();
-            }
-            self.sweep_fronts(now, true);
-            // Wakes the loop for the end itself.
-            self.wheel.set(now, CROSSING_S, Timer::Again);
-        }
-        let answered = self.core.as_ref().map_or(0, Core::owed) == 0
-            && self.http.connections.quiet()
-            && self.ajp.as_ref().map_or(true, |a| a.connections.quiet())
-            && self.http2.as_ref().map_or(true, |h| h.connections.quiet());
-        let Some(leaving) = &self.leaving else { return };
-        let crossed = leaving.closed.is_some_and(|at| now >= at + CROSSING_S);
-        if crossed && answered || now >= leaving.stop - STOP_MARGIN_S {
-            if let Some(Ok(state)) =
-                self.core.as_ref().and_then(Core::pools).map(|s| serde_json::to_string(&s))
-            {
-                self.log.line(&format!("pools: state {state}"));
-            }
-            if let Some(r) = &mut self.replacement {
-                r.links.leave();
-            }
-            self.log.line(if answered { "left with all answered" } else { "left with answers owed" });
-            self.done = true;
-        }
-    }
 }
--- /dev/null
+++ b/src/net/operating.rs
@@ -0,0 +1,66 @@
+//! What operators' calls do to a worker.
+
+use super::console::{self, Call};
+use super::Worker;
+
+impl Worker {
+    /// Answers what operators ask, before any front is looked at; `true` if accepting was broken off.
+    pub(super) fn serve_console(&mut self, now: f64) -> bool {
+        let Some(console) = &mut self.console else { return false };
+        let mut calls = Vec::new();
+        let paused = console.gather(now, &mut calls);
+        for (id, call) in calls {
+            let reply = self.operators_call(call);
+            if let Some(console) = &mut self.console {
+                console.answer(id, now, &reply);
+            }
+        }
+        paused
+    }
+
+    pub(super) fn operators_call(&mut self, call: Call) -> console::Reply {
+        let linked = self.servers.is_some() || self.executor.linked();
+        match call {
+            Call::Ready if self.state.leaving => console::Reply::new(503, "leaving\n"),
+            Call::Ready if !self.door_open() => {
+                let given = self.given_away();
+                console::Reply::new(
+                    503,
+                    if given { "handed over\n" } else { "waiting for the process before\n" },
+                )
+            }
+            Call::Ready if self.core.is_none() || !linked => {
+                console::Reply::new(503, "no link to the executor\n")
+            }
+            Call::Ready => console::Reply::new(200, "ready\n"),
+            Call::Metrics => {
+                let (counts, concurrent) =
+                    self.core.as_ref().map_or((&self.early, 0), |core| (core.figures(), core.owed()));
+                console::Reply::new(200, console::figures(&self.state.known, counts, concurrent))
+            }
+            Call::Drain => {
+                self.drain(true);
+                console::Reply::new(200, "draining\n")
+            }
+            Call::Resume => {
+                self.drain(false);
+                console::Reply::new(
+                    200,
+                    if self.state.leaving { "leaving all the same\n" } else { "serving\n" },
+                )
+            }
+        }
+    }
+
+    /// Sends clients away, or lets them come again: health and reports change at once, decisions don't.
+    pub(super) fn drain(&mut self, on: bool) {
+        if self.pass_drain(on) {
+            return;
+        }
+        if self.state.draining != on {
+            self.state.draining = on;
+            self.log.line(if on { "console: draining" } else { "console: the drain has ended" });
+            self.beat(false);
+        }
+    }
+}
--- a/src/net/replacing.rs
+++ b/src/net/replacing.rs
@@ -4,10 +4,11 @@
 use super::connections::{Parcel, Stage};
 use super::handover::{Found, Heard, Links};
 use super::wheel::Timer;
-use super::{Clock, Worker};
-use crate::core::keys::{KeyName, KeyNews, Progress};
-use crate::core::{Input, LentRequest, Request, Ticket};
-use crate::handover::frame::{Bytes, Frame, Held, Key, KeyEnd, KeyState, Passed, Usage, VERSION};
+use super::words::{passed, to_held, to_news, to_request, to_state, zero_ms};
+use super::Worker;
+use crate::core::keys::KeyNews;
+use crate::core::{Input, LentRequest, Ticket};
+use crate::handover::frame::{Frame, Held, KeyState, Passed, Usage, VERSION};
 use crate::handover::{Act, Door, Doubt, Event, PATIENCE_S};
 use std::net::TcpListener;
 use std::os::fd::OwnedFd;
@@ -81,76 +82,6 @@
     }
 }
 
-/// The Unix time of the loop's zero (milliseconds): times on the link mean the same in both processes.
-fn zero_ms(clock: &Clock) -> f64 {
-    clock.unix_ms() - clock.now() * 1000.0
-}
-
-fn to_state(news: &KeyNews, zero_ms: f64) -> KeyState {
-    let name = &news.name;
-    KeyState {
-        key: Key { class: name.class, tenant: name.tenant, key: name.key.clone() },
-        print: news.print,
-        until_ms: zero_ms + news.until * 1000.0,
-        end: match &news.progress {
-            Some(Progress::Open) => KeyEnd::Open,
-            Some(Progress::Served(result)) => KeyEnd::Served(result.clone().map(Bytes)),
-            Some(Progress::Failed) => KeyEnd::Failed,
-            None => KeyEnd::Never,
-        },
-    }
-}
-
-/// `latest` is the end of the longest window that may begin now: no key links for longer.
-fn to_news(state: KeyState, zero_ms: f64, latest: f64) -> KeyNews {
-    let Key { class, tenant, key } = state.key;
-    KeyNews {
-        name: KeyName { class, tenant, key },
-        print: state.print,
-        until: ((state.until_ms - zero_ms) / 1000.0).min(latest),
-        progress: match state.end {
-            KeyEnd::Open => Some(Progress::Open),
-            KeyEnd::Served(result) => Some(Progress::Served(result.map(|b| b.0))),
-            KeyEnd::Failed => Some(Progress::Failed),
-            KeyEnd::Never => None,
-        },
-    }
-}
-
-fn to_held(lent: &LentRequest, zero_ms: f64) -> Held {
-    let r = &lent.request;
-    Held {
-        name: r.name.clone(),
-        class: r.class,
-        tenant: r.tenant,
-        caller: r.caller,
-        kb: r.kb,
-        arrived_ms: zero_ms + lent.arrived * 1000.0,
-        due_ms: zero_ms + lent.due * 1000.0,
-        size_s: r.size_s,
-        key: r.key.clone(),
-        retry: r.retry,
-        body: Bytes(r.body.clone()),
-    }
-}
-
-fn to_request(held: Held, ticket: Ticket, unix_ms: f64) -> Request {
-    Request {
-        ticket,
-        name: held.name,
-        class: held.class,
-        tenant: held.tenant,
-        caller: held.caller,
-        kb: held.kb,
-        unread_s: ((unix_ms - held.arrived_ms) / 1000.0).max(0.0),
-        patience_s: ((held.due_ms - unix_ms) / 1000.0).max(0.0),
-        size_s: held.size_s,
-        key: held.key,
-        retry: held.retry,
-        body: held.body.0,
-    }
-}
-
 impl Worker {
     /// How long a key links tries at most: its window, and what the module adds to be safe.
     fn longest_window_s(&self) -> f64 {
@@ -644,13 +575,3 @@
         }
     }
 }
-
-fn passed(parcel: &Parcel<bool>, held: Option<Held>) -> Passed {
-    Passed {
-        unread: Bytes(parcel.unread.as_slice().into()),
-        continued: parcel.memory,
-        asked: parcel.asked,
-        close: parcel.close,
-        held,
-    }
-}
--- /dev/null
+++ b/src/net/words.rs
@@ -0,0 +1,87 @@
+//! What the core lends and tells, in the words of the link between two processes, and back.
+
+use super::connections::Parcel;
+use super::Clock;
+use crate::core::keys::{KeyName, KeyNews, Progress};
+use crate::core::{LentRequest, Request, Ticket};
+use crate::handover::frame::{Bytes, Held, Key, KeyEnd, KeyState, Passed};
+
+/// The Unix time of the loop's zero (milliseconds): times on the link mean the same in both processes.
+pub(super) fn zero_ms(clock: &Clock) -> f64 {
+    clock.unix_ms() - clock.now() * 1000.0
+}
+
+pub(super) fn to_state(news: &KeyNews, zero_ms: f64) -> KeyState {
+    let name = &news.name;
+    KeyState {
+        key: Key { class: name.class, tenant: name.tenant, key: name.key.clone() },
+        print: news.print,
+        until_ms: zero_ms + news.until * 1000.0,
+        end: match &news.progress {
+            Some(Progress::Open) => KeyEnd::Open,
+            Some(Progress::Served(result)) => KeyEnd::Served(result.clone().map(Bytes)),
+            Some(Progress::Failed) => KeyEnd::Failed,
+            None => KeyEnd::Never,
+        },
+    }
+}
+
+/// `latest` is the end of the longest window that may begin now: no key links for longer.
+pub(super) fn to_news(state: KeyState, zero_ms: f64, latest: f64) -> KeyNews {
+    let Key { class, tenant, key } = state.key;
+    KeyNews {
+        name: KeyName { class, tenant, key },
+        print: state.print,
+        until: ((state.until_ms - zero_ms) / 1000.0).min(latest),
+        progress: match state.end {
+            KeyEnd::Open => Some(Progress::Open),
+            KeyEnd::Served(result) => Some(Progress::Served(result.map(|b| b.0))),
+            KeyEnd::Failed => Some(Progress::Failed),
+            KeyEnd::Never => None,
+        },
+    }
+}
+
+pub(super) fn to_held(lent: &LentRequest, zero_ms: f64) -> Held {
+    let r = &lent.request;
+    Held {
+        name: r.name.clone(),
+        class: r.class,
+        tenant: r.tenant,
+        caller: r.caller,
+        kb: r.kb,
+        arrived_ms: zero_ms + lent.arrived * 1000.0,
+        due_ms: zero_ms + lent.due * 1000.0,
+        size_s: r.size_s,
+        key: r.key.clone(),
+        retry: r.retry,
+        body: Bytes(r.body.clone()),
+    }
+}
+
+pub(super) fn to_request(held: Held, ticket: Ticket, unix_ms: f64) -> Request {
+    Request {
+        ticket,
+        name: held.name,
+        class: held.class,
+        tenant: held.tenant,
+        caller: held.caller,
+        kb: held.kb,
+        unread_s: ((unix_ms - held.arrived_ms) / 1000.0).max(0.0),
+        patience_s: ((held.due_ms - unix_ms) / 1000.0).max(0.0),
+        size_s: held.size_s,
+        key: held.key,
+        retry: held.retry,
+        body: held.body.0,
+    }
+}
+
+pub(super) fn passed(parcel: &Parcel<bool>, held: Option<Held>) -> Passed {
+    Passed {
+        unread: Bytes(parcel.unread.as_slice().into()),
+        continued: parcel.memory,
+        asked: parcel.asked,
+        close: parcel.close,
+        held,
+    }
+}
