--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -132,6 +132,13 @@
         Site::run(Command::new(env!("CARGO_BIN_EXE_honeypost")), change, operator)
     }
 
+    /// Starts a worker with more in its environment.
+    pub fn with_env(environment: &[(&str, &str)], change: impl FnOnce(&mut Value)) -> Site {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_honeypost"));
+        command.envs(environment.iter().copied());
+        Site::run(command, change, None)
+    }
+
     /// Starts a worker to which the system gives so many descriptors and no more, whatever its own budget is.
     pub fn with_descriptors(n: usize) -> Site {
         let mut command = Command::new("sh");
--- a/tests/console.rs
+++ b/tests/console.rs
@@ -196,3 +196,33 @@
     }
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+#[test]
+fn the_environments_address_goes_before_the_files_and_the_log_says_so() {
+    let mut site =
+        Site::with_env(&[("ROUTER_CONSOLE", "127.0.0.1:0")], |c| c["console"] = json!("127.0.0.1:9"));
+    site.wait_log("ROUTER_CONSOLE goes before the configuration's 127.0.0.1:9");
+    assert_eq!(site.call("GET", "/-/metrics").0, 200);
+}
+
+#[test]
+fn ready_says_no_while_there_is_no_link_to_the_executor() {
+    // An address that no other test is given: nobody else listens there once this one does not.
+    let executor = std::net::TcpListener::bind("127.0.77.1:0").unwrap();
+    let at = executor.local_addr().unwrap();
+    let mut site = Site::with(
+        |c| {
+            c["console"] = json!("127.0.0.1:0");
+            c["executor"] = json!(at);
+        },
+        None,
+    );
+    let mut link = Executor::accept(&executor);
+    link.next("JOIN");
+    link.say(json!({"type": "WELCOME", "state": "LOADED", "took": 3_600_000.0}));
+    site.wait_beat("ready");
+    assert_eq!(site.call("GET", "/-/ready").0, 200);
+    drop((link, executor));
+    site.wait_log("executor: no link");
+    assert_eq!(site.call("GET", "/-/ready"), (503, "no link to the executor\n".to_owned()));
+}
--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -572,3 +572,66 @@
     client.read_exact(&mut frame).unwrap();
     assert_eq!(frame[3], 4, "its first frame is SETTINGS");
 }
+
+#[test]
+fn an_old_process_killed_in_the_middle_of_its_words_leaves_nothing_half_believed() {
+    let door = Door::new();
+    let listener = UnixListener::bind(door.socket()).unwrap();
+    let mut new = Site::at(&door, |_| {});
+    let mut peer = Peer::on(listener.accept().unwrap().0);
+    let mut executor = new.link_silently();
+    assert!(matches!(peer.next(), Frame::Hello { .. }));
+    peer.say(&Frame::Welcome);
+    assert_eq!(peer.next(), Frame::Take);
+    let learned = honeypost::interface::Learned { runs: 9, ..Default::default() };
+    peer.say(&Frame::State { prints: (1, 2), draining: true, learned, running: vec!["r1".into()] });
+    let key = Key { class: 1, tenant: Some(0), key: "k1".into() };
+    let end = KeyEnd::Served(Some(Bytes(std::rc::Rc::from(*b"placed"))));
+    let state = Frame::Key(KeyState { key, print: 7, until_ms: unix_ms() as f64 + 9000.0, end }).encode();
+    peer.stream.write_all(&state[..state.len() / 2]).unwrap();
+    drop(peer);
+    new.wait_log("the old process has ended");
+    wait_ready(&new);
+    // Neither the drain nor the key came in whole.
+    assert_eq!(new.health(), 200);
+    let mut client = Client::connect(new.http);
+    assert_eq!(client.ask(&again("k1")).status, 500);
+    assert_eq!(client.ask(&again("k2")).status, 500);
+    client.send(&order("k3"));
+    let exec = executor.next("EXEC");
+    executor.exit(job(&exec), "PASS", "placed");
+    assert_eq!(client.answer().body, b"placed");
+}
+
+#[test]
+fn a_reload_of_both_in_the_overlap_moves_their_peers_and_loses_nothing() {
+    let door = Door::new();
+    let (mut old, mut old_executor) = first(&door);
+    let mut open = Client::connect(old.http);
+    open.send(&order("k1"));
+    let exec = old_executor.next("EXEC");
+    let (mut new, _new_executor) = second(&door);
+    // The executor of each is to be found elsewhere from now on.
+    let _kept = (old.move_peers(), new.move_peers());
+    let mut old_next = Executor::accept(&old.executor);
+    let mut new_next = Executor::accept(&new.executor);
+    for executor in [&mut old_next, &mut new_next] {
+        executor.next("JOIN");
+        executor.say(json!({"type": "WELCOME", "state": "LOADED", "took": 3_600_000.0}));
+    }
+    old_next.n = old_executor.n;
+    let mut client = Client::connect(new.http);
+    client.send(&again("k1"));
+    // What was commanded just before may be given again on the new link.
+    old_next.started.push(exec["job"].clone());
+    old_next.exit(job(&exec), "PASS", "placed");
+    assert_eq!(open.answer().body, b"placed");
+    assert_eq!(client.answer().body, b"placed");
+    client.send(&Ask::new("look"));
+    let exec = new_next.next("EXEC");
+    new_next.exit(job(&exec), "PASS", "moved");
+    assert_eq!(client.answer().body, b"moved");
+    new.wait_beat("ready");
+    old.terminate();
+    assert!(old.ended_well());
+}
