End a successor at once that is told to leave before it has the door

Seen in thought, then in a story: a new process that got SIGTERM while it waited kept the drain's clocks and could still have opened the door. Now it ends, and the old process, which has lent at most, takes all back. The random histories of both roles kill such a process; they failed where it stayed alive.

--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -155,6 +155,11 @@
     /// Takes an event at the loop's clock; what is to be done is appended in order.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Act>) {
         match (event, self.state) {
+            // It owes nothing to anybody, and what it was sent it has not acted on: the old process takes it back.
+            (Event::Leave, State::Waiting { linked: Some(_), .. }) => {
+                (self.leaving, self.old, self.state) = (true, false, State::Parted);
+                out.push(Act::End);
+            }
             (Event::Leave, _) => {
                 self.leaving = true;
                 if self.given_away() {
--- a/src/handover/tests.rs
+++ b/src/handover/tests.rs
@@ -62,6 +62,19 @@
     assert_eq!(acts(&mut old, 1.0, Event::Acknowledged), [Act::Part, Act::End]);
 }
 
+#[test]
+fn a_successor_told_to_leave_before_it_has_the_door_never_opens_it() {
+    let mut new = Door::new(WINDOW_S);
+    for event in [Event::Linked, Event::Welcomed, Event::Able] {
+        acts(&mut new, 0.0, event);
+    }
+    assert_eq!(acts(&mut new, 0.1, Event::Leave), [Act::End]);
+    for event in [Event::Given, Event::Tick, Event::OldLost] {
+        assert_eq!(acts(&mut new, 9.0, event), []);
+    }
+    assert!(!new.is_open() && !new.has_predecessor());
+}
+
 #[test]
 fn an_old_process_that_hangs_is_not_waited_for_and_believed_when_it_wakes() {
     let mut new = Door::new(WINDOW_S);
@@ -286,7 +299,15 @@
                     world.chain[i].hung = false;
                     while world.hear(i) {}
                 }
-                5 => world.tell_if_alive(i, Event::Leave),
+                5 => {
+                    let waits = |d: &Door| !d.is_open() && !d.given_away();
+                    let waited = waits(&world.chain[i].door);
+                    world.tell_if_alive(i, Event::Leave);
+                    // It owes nothing, so that it ends at once.
+                    if waited && world.chain[i].door.given_away() {
+                        world.kill(i);
+                    }
+                }
                 6 | 7 => world.tell_if_alive(i, Event::Able),
                 8 => {
                     // Whoever does not hang has heard all by then; words take far less than that.
--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -635,3 +635,16 @@
     old.terminate();
     assert!(old.ended_well());
 }
+
+#[test]
+fn a_new_process_told_to_leave_before_it_can_serve_ends_at_once() {
+    let door = Door::new();
+    let (mut old, _executor) = first(&door);
+    let mut new = Site::at(&door, |_| {});
+    assert_eq!(new.call("GET", "/-/ready").0, 503);
+    new.terminate();
+    assert!(new.ended_well());
+    old.wait_log("the new process has ended");
+    assert_eq!(old.call("GET", "/-/ready").0, 200);
+    assert_eq!(old.health(), 200);
+}
