Tell idle HTTP/2 clients to go before they are closed, and ask resting ones for a sign of life

Rejected: closing without a word and leaving it to clients to try again, since a stream that crosses such a close can't be told from one that ran. Four stories: idle, ping, a second notice in a drain, 500 silent connections beside a router. The example console moves to 7010, as deploy/http2.toml listens on 7002.

--- a/examples/replace.rs
+++ b/examples/replace.rs
@@ -33,7 +33,7 @@
     fn start(&mut self) -> Result<Child> {
         let turn = self.started % 2;
         self.started += 1;
-        let console = format!("127.0.0.1:{}", 7002 + turn);
+        let console = format!("127.0.0.1:{}", 7010 + turn);
         self.config["console"] = json!(console);
         self.config["executor"] = json!(format!("127.0.0.1:{}", 7300 + turn));
         let file = self.folder.join(format!("config-{turn}.json"));
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -41,6 +41,20 @@
     pub pending_resets: usize,
     #[serde(default = "default_error_resets")]
     pub error_resets: usize,
+    /// How long a connection without a stream is kept (seconds).
+    #[serde(default = "default_idle_s")]
+    pub idle_s: f64,
+    /// How often a client that rests is asked for a sign of life (seconds); 0 for never.
+    #[serde(default = "default_ping_s")]
+    pub ping_s: f64,
+}
+
+fn default_idle_s() -> f64 {
+    30.0
+}
+
+fn default_ping_s() -> f64 {
+    10.0
 }
 
 fn default_streams() -> u32 {
@@ -85,7 +99,15 @@
         within("header_list_kb", u64::from(self.header_list_kb), 1, 64)?;
         within("send_buffer_kb", u64::from(self.send_buffer_kb), 4, 1024)?;
         within("pending_resets", self.pending_resets as u64, 1, 10_000)?;
-        within("error_resets", self.error_resets as u64, 1, 10_000)
+        within("error_resets", self.error_resets as u64, 1, 10_000)?;
+        let lasts = |key: &str, value: f64, least: f64| {
+            if (least..=3600.0).contains(&value) {
+                return Ok(());
+            }
+            Err(format!("http2.{key} is {value}; expected {least} to 3600"))
+        };
+        lasts("idle_s", self.idle_s, 1.0)?;
+        lasts("ping_s", self.ping_s, 0.0)
     }
 }
 
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -114,6 +114,11 @@
         Next::Later
     }
 
+    /// Since when it is in its stage (seconds).
+    pub fn since(&self) -> f64 {
+        self.since
+    }
+
     pub fn step(&mut self, now: f64, stage: Stage) {
         if self.stage == Stage::Reading && matches!(stage, Stage::Asked | Stage::Answering) {
             self.asked += 1;
--- a/src/net/http2/mod.rs
+++ b/src/net/http2/mod.rs
@@ -29,6 +29,8 @@
 const BYTES_A_LOOK: usize = 8 * 1024;
 /// How long a client may take nothing of what waits for it (seconds).
 const SLOW_ANSWER_S: f64 = 10.0;
+/// How much longer than its settings say an idle connection lasts at most (seconds).
+const IDLE_MARGIN_S: f64 = 5.0;
 /// Output that waits for a client's socket before the codec is stopped (bytes).
 const QUEUE_MOST: usize = 64 * 1024;
 
@@ -218,6 +220,21 @@
         {
             self.close(id, inputs);
         }
+        let settings = &self.settings;
+        let mut over = Vec::new();
+        for id in self.connections.ids_where(|c| c.stage == Stage::Idle) {
+            let Some(c) = self.connections.get_mut(id) else { continue };
+            let since = c.since();
+            if c.memory.session.as_mut().is_some_and(|s| s.rest(now, since, settings)) {
+                over.push(id);
+            }
+        }
+        over.into_iter().for_each(|id| self.close(id, inputs));
         self.connections.touch_all();
     }
+
+    /// How long the common sweep leaves an idle connection: longer than its session does, which says goodbye first.
+    pub fn idle_s(&self) -> f64 {
+        self.settings.idle_s + IDLE_MARGIN_S
+    }
 }
--- a/src/net/http2/session.rs
+++ b/src/net/http2/session.rs
@@ -11,7 +11,7 @@
 use crate::net::{Clock, State};
 use bytes::Buf;
 use h2::server::{Connection, Handshake, SendResponse};
-use h2::{Reason, RecvStream, SendStream};
+use h2::{Ping, PingPong, Reason, RecvStream, SendStream};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::pin::Pin;
@@ -22,6 +22,9 @@
 /// How long a request's body may take to come, and an answer to be taken by the client's windows (seconds).
 const SLOW_REQUEST_S: f64 = 2.0;
 const SLOW_ANSWER_S: f64 = 10.0;
+/// How long a client may take to answer a ping, and to close after a goodbye (seconds).
+const PONG_S: f64 = 5.0;
+const GOODBYE_S: f64 = 2.0;
 /// Rounds of polling in one look: what the codec has to say after one may wake the next.
 const ROUNDS: usize = 4;
 
@@ -100,6 +103,12 @@
     streams: BTreeMap<u64, Stream>,
     taken: u64,
     draining: bool,
+    pings: Option<PingPong>,
+    /// When the ping that is under way was sent, and when the last one was answered.
+    pinged: Option<f64>,
+    ponged: f64,
+    /// When it was told to go for having been idle.
+    goodbye: Option<f64>,
 }
 
 impl Session {
@@ -124,6 +133,10 @@
             streams: BTreeMap::new(),
             taken: 0,
             draining: false,
+            pings: None,
+            pinged: None,
+            ponged: 0.0,
+            goodbye: None,
         }
     }
 
@@ -160,7 +173,10 @@
                     seen.over = true;
                     return seen;
                 }
-                Poll::Ready(Ok(connection)) => self.codec = Codec::Open(Box::new(connection)),
+                Poll::Ready(Ok(mut connection)) => {
+                    self.pings = connection.ping_pong();
+                    self.codec = Codec::Open(Box::new(connection));
+                }
             }
         }
         if state.ends_connections() && !self.draining {
@@ -180,6 +196,40 @@
         seen
     }
 
+    /// What becomes of a client without a stream since `since`: it is asked for a sign of life, told to go when it has
+    /// been idle for long, and closed (`true`) where it answers neither.
+    pub fn rest(&mut self, now: f64, since: f64, set: &Http2Settings) -> bool {
+        let waker = self.waker.clone();
+        let mut cx = Context::from_waker(&waker);
+        if let Some(at) = self.goodbye {
+            return now - at > GOODBYE_S;
+        }
+        if now - since >= set.idle_s {
+            self.goodbye = Some(now);
+            if let Codec::Open(connection) = &mut self.codec {
+                if !std::mem::replace(&mut self.draining, true) {
+                    connection.graceful_shutdown();
+                }
+            }
+            return false;
+        }
+        let Some(pings) = self.pings.as_mut().filter(|_| set.ping_s > 0.0) else { return false };
+        match self.pinged {
+            Some(at) => match pings.poll_pong(&mut cx) {
+                Poll::Ready(Ok(_)) => (self.pinged, self.ponged) = (None, now),
+                Poll::Ready(Err(_)) => return true,
+                Poll::Pending => return now - at > PONG_S,
+            },
+            None => {
+                let due = now - since.max(self.ponged) >= set.ping_s;
+                if due && pings.send_ping(Ping::opaque()).is_ok() {
+                    self.pinged = Some(now);
+                }
+            }
+        }
+        false
+    }
+
     /// Drives the codec and takes what it offers; `true` if it took a stream.
     fn accept(
         &mut self,
--- a/src/net/leaving.rs
+++ b/src/net/leaving.rs
@@ -71,7 +71,8 @@
             ajp.connections.sweep(now, self.idle_s, leaving);
         }
         if let Some(http2) = &mut self.http2 {
-            http2.connections.sweep(now, self.idle_s, leaving);
+            let idle_s = http2.idle_s();
+            http2.connections.sweep(now, idle_s, leaving);
         }
     }
 
--- a/tests/http2/stories.rs
+++ b/tests/http2/stories.rs
@@ -357,3 +357,90 @@
     let http2 = (site.resident_kb() - before) / CONNECTIONS as f64;
     println!("KB an idle connection: HTTP/1.1 {http1:.1}, HTTP/2 {http2:.1}");
 }
+
+#[test]
+fn an_idle_client_is_told_to_go_before_it_is_closed_and_what_crosses_that_is_served() {
+    let site = Site::with(|_| {}, Some(&format!("{FRONT}idle_s = 1\n")));
+    let (mut executor, mut peer) = (site.link(), Peer::connect(&site, &[]));
+    peer.ack_pings = false;
+    peer.ask(1, "look", None, "hello");
+    let job = starts(&mut executor, "look");
+    executor.exit(&job, "PASS", "seen");
+    assert_eq!(peer.answer(1).body, b"seen");
+    assert_eq!(peer.goaway(), (0x7fff_ffff, NO_ERROR));
+    peer.ask(3, "look", None, "hello");
+    let job = starts(&mut executor, "look");
+    let ping = peer.next("a ping", |f| f.kind == PING && f.flags & ACK == 0);
+    peer.frame(PING, ACK, 0, &ping.payload);
+    assert_eq!(peer.goaway(), (3, NO_ERROR));
+    executor.exit(&job, "PASS", "crossed");
+    assert_eq!(peer.answer(3).body, b"crossed");
+    assert!(peer.closed());
+}
+
+#[test]
+fn a_client_that_rests_is_asked_for_a_sign_of_life_and_closed_where_it_gives_none() {
+    let site = Site::with(|_| {}, Some(&format!("{FRONT}ping_s = 0.5\n")));
+    let (mut executor, mut alive) = (site.link(), Peer::connect(&site, &[]));
+    let mut dead = Peer::connect(&site, &[]);
+    dead.ack_pings = false;
+    for peer in [&mut alive, &mut dead] {
+        peer.ask(1, "look", None, "hello");
+        let job = starts(&mut executor, "look");
+        executor.exit(&job, "PASS", "seen");
+        assert_eq!(peer.answer(1).body, b"seen");
+    }
+    for _ in 0..3 {
+        alive.next("a ping", |f| f.kind == PING && f.flags & ACK == 0);
+    }
+    dead.next("a ping", |f| f.kind == PING && f.flags & ACK == 0);
+    assert!(dead.closed());
+    // It goes on answering pings while it waits for its turn here.
+    alive.ask(3, "look", None, "hello");
+    let job = starts(&mut executor, "look");
+    executor.exit(&job, "PASS", "still here");
+    assert_eq!(alive.answer(3).body, b"still here");
+}
+
+#[test]
+fn a_second_notice_in_a_drain_changes_nothing() {
+    let mut site = Site::with(|_| {}, Some(FRONT));
+    let (mut executor, mut peer) = (site.link(), Peer::connect(&site, &[]));
+    peer.ask(1, "order", Some("k1"), "hello");
+    let job = starts(&mut executor, "order");
+    site.terminate();
+    assert_eq!(peer.goaway(), (0x7fff_ffff, NO_ERROR));
+    assert_eq!(peer.goaway(), (1, NO_ERROR));
+    site.terminate();
+    // A stream that is opened after the last goodbye is none, and nothing of it runs.
+    peer.ask(3, "look", None, "hello");
+    executor.exit(&job, "PASS", "placed");
+    assert_eq!(peer.answer(1).body, b"placed");
+    assert!(peer.closed());
+    site.wait_log("left with all answered");
+    assert!(site.ended_well());
+    assert_eq!(site.log.iter().filter(|l| l.contains("notice to leave")).count(), 1);
+}
+
+#[test]
+fn five_hundred_silent_connections_leave_routers_their_turn() {
+    let site = Site::with(|c| c["limits"]["sockets"] = json!(256), Some(FRONT));
+    let mut executor = site.link();
+    let mut router = Client::connect(site.http);
+    assert_eq!(router.ask_check(), 200);
+    let mut silent = Vec::new();
+    for n in 0..500 {
+        silent.push(if n % 2 == 0 { Peer::silent(&site) } else { Peer::connect(&site, &[]) });
+        if n % 50 == 0 {
+            router.send(&Ask::new("look"));
+            let job = starts(&mut executor, "look");
+            executor.exit(&job, "PASS", "seen");
+            assert_eq!(router.answer().body, b"seen");
+        }
+    }
+    let mut newcomer = Client::connect(site.http);
+    newcomer.send(&Ask::new("look"));
+    let job = starts(&mut executor, "look");
+    executor.exit(&job, "PASS", "seen");
+    assert_eq!(newcomer.answer().body, b"seen");
+}
