--- a/src/core/lending.rs
+++ b/src/core/lending.rs
@@ -52,6 +52,11 @@
         self.doubt
     }
 
+    /// What bodies are hashed with, where nobody can guess it: for a core that knows no key yet.
+    pub fn salt(&mut self, prints: (u64, u64)) {
+        self.prints = prints;
+    }
+
     /// Takes up how the process before this one hashes bodies, and what runs there. Nothing keyed is known yet.
     pub fn succeed(&mut self, prints: (u64, u64), running: Vec<Rc<str>>) {
         self.prints = prints;
@@ -116,11 +121,10 @@
     }
 
     pub(super) fn tell_keys(&mut self, out: &mut Vec<Command>) {
-        for name in std::mem::take(&mut self.key_news) {
-            if self.lent {
-                out.push(Command::Key(self.keys.news(&name)));
-            }
-        }
+        let keys = &self.keys;
+        let lent = self.lent;
+        // Drained, not taken: the list keeps its room.
+        out.extend(self.key_news.drain(..).filter(|_| lent).map(|name| Command::Key(keys.news(&name))));
     }
 
     /// News of a key of the process before this one: taken up, or the end that tries here wait for.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -47,7 +47,9 @@
 use records::Records;
 use registry::{Registry, BEAT_S};
 use replacing::Replacement;
+use std::collections::hash_map::RandomState;
 use std::collections::HashMap;
+use std::hash::BuildHasher;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -554,6 +556,9 @@
         let mut commands = Vec::new();
         // The controller's time begins now, not with the executor: a past start made its first run look hung.
         let mut core = Core::new(settings, now, room as usize, &mut commands);
+        // The system's random numbers: bodies that look the same to it can't be made up outside.
+        let dice = RandomState::new();
+        core.salt((dice.hash_one(1), dice.hash_one(2)));
         core.count_earlier(&self.early);
         core.believe(self.replacement.as_ref().map_or(Doubt::None, Replacement::doubt));
         if let Some(leaving) = &self.leaving {
