Count core time, not time, against runs that do not end: a rest is no sign of a hang

Cause: Sickness::nothing_ended (src/brain.rs) held running x time since the last end against 20 run lengths; the last end lay before the drain, so that two first runs at once after 3 s of rest were enough. Change: time on the cores since the last end is added up and held against the same bound. The test fails without the change.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -207,6 +207,7 @@
     failed: f64,
     ended: f64,
     last_end: f64,
+    stuck: f64, // Time on the cores since then.
     good_in_row: u32,
     next_probe: f64,
     /// How long what is read now lay unread, in aims, fading, and whether that is too long to be of use.
@@ -216,7 +217,8 @@
 }
 
 impl Sickness {
-    fn advance(&mut self, dt: f64) {
+    fn advance(&mut self, dt: f64, running: usize) {
+        self.stuck += running as f64 * dt;
         let fade = (-dt / SICK_MEMORY_S).exp();
         let counts = [&mut self.failed, &mut self.ended, &mut self.unread, &mut self.read];
         counts.into_iter().for_each(|n| *n *= fade);
@@ -229,7 +231,7 @@
         self.swamped |= self.unread > SWAMPED * (self.read + 1.0);
     }
     fn run_ended(&mut self, now: f64, failed: bool) {
-        self.last_end = now;
+        (self.last_end, self.stuck) = (now, 0.0);
         self.ended += 1.0;
         self.failed += f64::from(u8::from(failed));
         self.good_in_row = if failed { 0 } else { self.good_in_row + 1 };
@@ -239,9 +241,9 @@
             self.sick = true;
         }
     }
-    fn nothing_ended(&mut self, now: f64, running: usize, length: f64) {
+    fn nothing_ended(&mut self, now: f64, length: f64) {
         let lasts = now - self.last_end;
-        if lasts > SICK_STUCK_S && running as f64 * lasts > SICK_STUCK * length {
+        if lasts > SICK_STUCK_S && self.stuck > SICK_STUCK * length {
             (self.sick, self.good_in_row) = (true, 0);
         }
     }
@@ -412,8 +414,7 @@
             self.well = !self.well;
             self.publish(out);
             let bad = ["swamped: requests are read too late to be served", "sick: runs fail or do not end"];
-            let state = if self.well { "well again" } else { bad[usize::from(sick)] };
-            out.push(Action::Log(state.to_owned()));
+            out.push(Action::Log((if self.well { "well again" } else { bad[usize::from(sick)] }).to_owned()));
         }
         // Off the list nobody sends: after a rest without runs a sick worker shows itself to be tried.
         let rested = self.running() == 0 && self.now - self.sickness.last_end > SICK_MEMORY_S;
@@ -435,7 +436,7 @@
     pub fn learned(&self) -> Learned {
         let paces = self.pace.iter().map(|p| (p.spent, p.ended, p.hinted)).collect();
         let (runs, usual_s, c) = (self.limit.runs, self.usual, &self.call_bound);
-        let call_s = if c.shortest.is_finite() { c.shortest } else { 0.0 };
+        let call_s = Some(c.shortest).filter(|s| s.is_finite());
         Learned { runs, usual_s, paces, call_room: c.room, call_s, calls: c.lately }
     }
 
@@ -443,9 +444,8 @@
         (self.limit.runs, self.usual) = (l.runs.min(self.crowd_limit()).max(self.limit.runs), l.usual_s);
         let taught = self.pace.iter_mut().zip(l.paces);
         taught.for_each(|(p, (spent, ended, hinted))| (p.spent, p.ended, p.hinted) = (spent, ended, hinted));
-        let c = &mut self.call_bound;
-        (c.room, c.lately) = (l.call_room.min(c.top.max(1.0)), l.calls);
-        c.shortest = if l.call_s > 0.0 { l.call_s } else { f64::INFINITY };
+        let (c, call_s) = (&mut self.call_bound, l.call_s.unwrap_or(f64::INFINITY));
+        (c.room, c.lately, c.shortest) = (l.call_room.min(c.top.max(1.0)), l.calls, call_s);
     }
 
     /// Requests that no later event or action of this controller will name.
@@ -478,7 +478,7 @@
         }
         let fade = (-dt / MEASURE_S).exp();
         self.inflow.iter_mut().chain([&mut self.further]).for_each(|n| *n *= fade);
-        self.sickness.advance(dt);
+        self.sickness.advance(dt, self.running() - self.beside.0);
         for q in &mut self.quotas {
             let most = (q.rate * QUOTA_BURST_S).max(QUOTA_LEAST);
             (q.tokens, q.asked) = ((q.tokens + q.rate * dt).min(most), q.asked * fade);
@@ -835,7 +835,7 @@
     }
 
     fn at_call(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        self.sickness.last_end = self.now; // A run that comes to a call has not hung.
+        (self.sickness.last_end, self.sickness.stuck) = (self.now, 0.0); // At a call it has not hung.
         self.shift(id, Some(Stage::AtCall));
         // What would wait in vain goes on at once: the cores may be idle while the dependency is slow.
         let Some(r) = self.requests.get(&id) else { return };
@@ -1032,7 +1032,7 @@
         let gone: Vec<RequestId> = self.entries.iter().filter(|(_, e)| over(e)).map(|(id, _)| *id).collect();
         gone.into_iter().for_each(|id| self.drop_entry(id));
         self.call_bound.look(self.parked.iter().any(|q| !q.is_empty()));
-        self.sickness.nothing_ended(self.now, self.running() - self.beside.0, self.run_length());
+        self.sickness.nothing_ended(self.now, self.run_length());
         // A core is free: nothing lies unread. Off the list, without arrivals, it would not be learnt else.
         if gauges.runnable.is_some_and(|n| n < f64::from(self.set.cores)) {
             (self.sickness.unread, self.sickness.swamped) = (0.0, false);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -243,9 +243,9 @@
     pub paces: Vec<(f64, f64, [f64; 5])>,
     /// The room for calls (mean number in hand).
     pub call_room: f64,
-    /// The yardstick for the length of a call, and time on calls and ended calls, both fading (seconds; 0 while
-    /// none has ended).
-    pub call_s: f64,
+    /// The yardstick for the length of a call, once one has ended, and time on calls and ended calls, both fading
+    /// (seconds).
+    pub call_s: Option<f64>,
     /// See above.
     pub calls: (f64, f64),
 }
@@ -254,7 +254,7 @@
     /// Whether it can have been measured: anything else would spoil every later decision.
     pub fn is_sound(&self) -> bool {
         let paces = self.paces.iter().flat_map(|p| [p.0, p.1].into_iter().chain(p.2));
-        let others = [self.usual_s, self.call_room, self.call_s, self.calls.0, self.calls.1];
+        let others = [self.usual_s, self.call_room, self.call_s.unwrap_or(1.0), self.calls.0, self.calls.1];
         paces.chain(others).all(|n| n.is_finite() && n >= 0.0)
             && self.paces.iter().all(|p| p.1 > 0.0)
             && self.usual_s > 0.0
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1065,3 +1065,25 @@
     // The run takes 40, its entry 10; of seven repeats of 10 each, four fit.
     assert!(!failed(&out, 5) && failed(&out, 6) && failed(&out, 7) && failed(&out, 8), "{out:?}");
 }
+
+/// A worker that came back from a drain was sick at its first two runs: the time in which it had nothing to run was
+/// held against them, it went off the list at once, and was sent too little to be well again.
+#[test]
+fn the_first_runs_after_a_rest_are_not_taken_for_hung_and_hung_ones_still_are() {
+    let mut b = Bench::new(settings());
+    for id in 1..=40 {
+        b.arrive(id, 0);
+        b.now += 0.06;
+        b.end(id, Outcome::Ok);
+    }
+    b.pass(4.0, 0.0);
+    b.arrive(101, 0);
+    b.arrive(102, 0);
+    let out = b.pass(0.05, 1.0);
+    assert!(!out.contains(&Action::Health(false)), "{out:?}");
+    b.end(101, Outcome::Ok);
+    b.end(102, Outcome::Ok);
+    b.arrive(103, 0);
+    b.arrive(104, 0);
+    assert!(b.pass(30.0, 0.0).contains(&Action::Health(false)));
+}
