End keys and the tries that wait for them in one place, by their progress

The core answered waiting tries in three loops, and a result that could not be kept was a special case in two files. Keys::ended takes the progress, Progress::share says what a try gets, Core::end_all ends requests.

--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -2,7 +2,8 @@
 //!
 //! An entry is kept a while beyond its time: a try counts from when it reached the machine, and it may lie unread.
 
-use crate::interface::RequestId;
+use super::Answer;
+use crate::interface::{Outcome, RequestId};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
@@ -28,6 +29,16 @@
     Failed,
 }
 
+impl Progress {
+    /// What a try of a key that has ended is given.
+    pub fn share(&self) -> (Answer, Outcome) {
+        match self {
+            Progress::Served(Some(result)) => (Answer::Served(result.clone()), Outcome::Ok),
+            _ => (Answer::Failed, Outcome::Error),
+        }
+    }
+}
+
 /// A key in the table.
 #[derive(Debug)]
 pub struct Entry {
@@ -154,16 +165,7 @@
         if let Some(entry) = self.entries.get_mut(&news.name) {
             entry.elsewhere = true;
         }
-        match progress {
-            Progress::Open => {}
-            Progress::Served(None) => {
-                if let Some(entry) = self.entries.get_mut(&news.name) {
-                    entry.progress = Progress::Served(None);
-                }
-            }
-            Progress::Served(result) => drop(self.ended(&news.name, holder, result)),
-            Progress::Failed => drop(self.ended(&news.name, holder, None)),
-        }
+        self.ended(&news.name, holder, progress);
     }
 
     /// Takes the key of a request that never ran from the table. An entry whose run has ended stays: a
@@ -176,19 +178,16 @@
     }
 
     /// The run of a key has ended; returns the tries that wait for it.
-    pub fn ended(&mut self, name: &KeyName, holder: RequestId, result: Option<Rc<[u8]>>) -> Vec<RequestId> {
+    pub fn ended(&mut self, name: &KeyName, holder: RequestId, progress: Progress) -> Vec<RequestId> {
         let Some(entry) = self.entries.get_mut(name).filter(|e| e.holder == holder) else {
             return Vec::new();
         };
         let waiting = std::mem::take(&mut entry.waiting);
-        entry.progress = match result {
-            None => Progress::Failed,
-            Some(result) => {
-                self.kept += result.len();
-                self.served.push_back(name.clone());
-                Progress::Served(Some(result))
-            }
-        };
+        if let Progress::Served(Some(result)) = &progress {
+            self.kept += result.len();
+            self.served.push_back(name.clone());
+        }
+        entry.progress = progress;
         // Guards the memory limit: the oldest results go, their links stay, so that nothing runs twice.
         while self.kept > self.room {
             let Some(oldest) = self.served.pop_front() else { break };
@@ -226,6 +225,10 @@
 mod tests {
     use super::*;
 
+    fn served(result: &[u8]) -> Progress {
+        Progress::Served(Some(result.into()))
+    }
+
     fn name(key: &str) -> KeyName {
         KeyName { class: 0, tenant: None, key: key.into() }
     }
@@ -234,7 +237,7 @@
     fn a_try_is_linked_by_its_arrival_not_by_when_it_is_read() {
         let mut keys = Keys::new(100, 9);
         keys.remember(&name("a"), RequestId(1), 0, 10.0);
-        keys.ended(&name("a"), RequestId(1), Some(Rc::from(*b"done")));
+        keys.ended(&name("a"), RequestId(1), served(b"done"));
         keys.sweep(12.0);
         assert_eq!(keys.linked(&name("a"), 9.9), Some(RequestId(1)));
         assert_eq!(keys.linked(&name("a"), 10.1), None);
@@ -255,7 +258,7 @@
         let mut keys = Keys::new(10, 9);
         for (i, key) in ["a", "b"].iter().enumerate() {
             keys.remember(&name(key), RequestId(i as u64), 0, 10.0);
-            keys.ended(&name(key), RequestId(i as u64), Some(Rc::from(*b"sevenby")));
+            keys.ended(&name(key), RequestId(i as u64), served(b"sevenby"));
         }
         assert_eq!(keys.linked(&name("a"), 1.0), Some(RequestId(0)));
         assert!(matches!(keys.get_mut(&name("a")).unwrap().progress, Progress::Served(None)));
--- a/src/core/lending.rs
+++ b/src/core/lending.rs
@@ -2,7 +2,7 @@
 //! and keys are told of. Times here are the loop's; whoever sends them on makes Unix times of them.
 
 use super::keys::{KeyName, KeyNews, Progress};
-use super::{refused, Answer, Command, Core, Request, Ticket};
+use super::{refused, Command, Core, Request, Ticket};
 use crate::handover::Doubt;
 use crate::interface::{Event, Learned, Outcome, RequestId};
 use siphasher::sip::SipHasher13;
@@ -137,60 +137,18 @@
             return;
         };
         let Some(holder) = holder else { return };
-        match &news.progress {
+        match news.progress.clone() {
             Some(Progress::Open) => {}
-            Some(Progress::Served(result)) => {
-                let answer = result.clone().map_or(Answer::Failed, Answer::Served);
-                self.key_ended(&news.name, holder, result.clone(), answer, Outcome::Ok, events, out);
-                if result.is_none() {
-                    if let Some(entry) = self.keys.get_mut(&news.name) {
-                        entry.progress = Progress::Served(None);
-                    }
-                }
-            }
-            Some(Progress::Failed) => {
-                self.key_ended(&news.name, holder, None, Answer::Failed, Outcome::Error, events, out);
-            }
+            Some(progress) => self.key_ended(&news.name, holder, progress, events, out),
             None => {
                 let tries = self.keys.get_mut(&news.name).map(|e| std::mem::take(&mut e.waiting));
                 self.keys.forget(&news.name, holder);
                 self.key_news.push(news.name.clone());
-                self.end_tries(tries.unwrap_or_default(), &refused(), Outcome::TooLate, events, out);
+                self.end_all(tries.unwrap_or_default(), &refused(), Outcome::TooLate, events, out);
             }
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn key_ended(
-        &mut self,
-        name: &KeyName,
-        holder: RequestId,
-        result: Option<Rc<[u8]>>,
-        answer: Answer,
-        outcome: Outcome,
-        events: &mut VecDeque<Event>,
-        out: &mut Vec<Command>,
-    ) {
-        let tries = self.keys.ended(name, holder, result);
-        self.key_news.push(name.clone());
-        self.end_tries(tries, &answer, outcome, events, out);
-    }
-
-    fn end_tries(
-        &mut self,
-        tries: Vec<RequestId>,
-        answer: &Answer,
-        outcome: Outcome,
-        events: &mut VecDeque<Event>,
-        out: &mut Vec<Command>,
-    ) {
-        for id in tries.into_iter().filter(|id| self.requests.contains_key(id)).collect::<Vec<_>>() {
-            self.answer(id, answer.clone(), out);
-            self.remove(id);
-            events.push_back(Event::RunEnded { id, outcome });
-        }
-    }
-
     /// The process before this one has ended. Keys that were open there have failed for good: whether they had their
     /// effect died with it.
     pub(super) fn predecessor_gone(&mut self, events: &mut VecDeque<Event>, out: &mut Vec<Command>) {
@@ -198,7 +156,7 @@
         self.beside = (0, 0, 0.0);
         events.push_back(Event::Beside { on_cores: 0, calling: 0, kb: 0.0 });
         for (name, holder) in self.keys.open_elsewhere() {
-            self.key_ended(&name, holder, None, Answer::Failed, Outcome::Error, events, out);
+            self.key_ended(&name, holder, Progress::Failed, events, out);
         }
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -500,14 +500,38 @@
         self.remove(id);
         events.push_back(Event::RunEnded { id, outcome });
         let Some(key) = key else { return };
-        let waiting = self.keys.ended(&key, id, result.clone());
-        self.key_news.push(key);
-        for other in waiting {
-            if self.requests.contains_key(&other) {
-                self.answer(other, answer(&result), out);
-                self.remove(other);
-                let outcome = if result.is_some() { Outcome::Ok } else { Outcome::Error };
-                events.push_back(Event::RunEnded { id: other, outcome });
+        self.key_ended(&key, id, result.map_or(Progress::Failed, |r| Progress::Served(Some(r))), events, out);
+    }
+
+    /// A key's run has ended, here or elsewhere: the tries that wait for it get the same.
+    fn key_ended(
+        &mut self,
+        key: &KeyName,
+        holder: RequestId,
+        progress: Progress,
+        events: &mut VecDeque<Event>,
+        out: &mut Vec<Command>,
+    ) {
+        let (answer, outcome) = progress.share();
+        let tries = self.keys.ended(key, holder, progress);
+        self.key_news.push(key.clone());
+        self.end_all(tries, &answer, outcome, events, out);
+    }
+
+    /// Answers requests and takes them from the table, and tells the controller that they have ended so.
+    fn end_all(
+        &mut self,
+        ids: Vec<RequestId>,
+        answer: &Answer,
+        outcome: Outcome,
+        events: &mut VecDeque<Event>,
+        out: &mut Vec<Command>,
+    ) {
+        for id in ids {
+            if self.requests.contains_key(&id) {
+                self.answer(id, answer.clone(), out);
+                self.remove(id);
+                events.push_back(Event::RunEnded { id, outcome });
             }
         }
     }
@@ -530,11 +554,7 @@
             self.keys.forget(&key, id);
             self.key_news.push(key);
         }
-        for id in over.into_iter().filter(|id| self.requests.contains_key(id)).collect::<Vec<_>>() {
-            self.answer(id, answer.clone(), out);
-            self.remove(id);
-            events.push_back(Event::RunEnded { id, outcome: Outcome::TooLate });
-        }
+        self.end_all(over, &answer, Outcome::TooLate, events, out);
     }
 
     fn share(&mut self, id: RequestId, events: &mut VecDeque<Event>, out: &mut Vec<Command>) {
@@ -549,10 +569,7 @@
             }
             None => Progress::Failed,
         };
-        let (answer, outcome) = match progress {
-            Progress::Served(Some(result)) => (Answer::Served(result), Outcome::Ok),
-            _ => (Answer::Failed, Outcome::Error),
-        };
+        let (answer, outcome) = progress.share();
         self.answer(id, answer, out);
         self.remove(id);
         events.push_back(Event::RunEnded { id, outcome });
