Hold what a process beside uses by tests, and what it sends by bytes

Read again: keys that were sent were bounded by count alone (100,000, each with up to 128 KiB); they are bounded by bytes now, twice the room for results. A drain under way when the door goes keeps its own stop. A drain asked for at a waiting process is not lost to the old one's state. The links are heard once a turn instead of every round, and their buffer is moved when it is read into, not with each frame. Opening and taking back share one path.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -31,6 +31,8 @@
     stream: Rc<UnixStream>,
     _watch: Watch,
     input: Vec<u8>,
+    /// Where the first frame begins in it.
+    start: usize,
     descriptors: VecDeque<OwnedFd>,
     output: VecDeque<(Vec<u8>, Option<OwnedFd>)>,
     /// Bytes of the first frame that have gone out.
@@ -61,6 +63,7 @@
             stream,
             _watch: watch,
             input: Vec::new(),
+            start: 0,
             descriptors: VecDeque::new(),
             output: VecDeque::new(),
             written: 0,
@@ -72,7 +75,9 @@
     }
 
     fn read(&mut self) {
-        while self.readable && !self.ended && self.input.len() < FRAME_MOST + HEAD {
+        while self.readable && !self.ended && self.input.len() - self.start < FRAME_MOST + HEAD {
+            // Only here, not with each frame: what waits would be moved for every one.
+            self.input.drain(..std::mem::take(&mut self.start));
             let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(DESCRIPTORS_A_MESSAGE))];
             let mut control = RecvAncillaryBuffer::new(&mut space);
             let at = self.input.len();
@@ -98,13 +103,13 @@
     fn look(&mut self) -> Look {
         self.read();
         if self.deaf {
-            self.input.clear();
+            (self.input, self.start) = (Vec::new(), 0);
             self.descriptors.clear();
             return if self.ended { Look::Ended } else { Look::Nothing };
         }
-        match Frame::decode(&self.input) {
+        match Frame::decode(&self.input[self.start..]) {
             Ok(Some((frame, length))) => {
-                self.input.drain(..length);
+                self.start += length;
                 let descriptor = if frame.carries() { self.descriptors.pop_front() } else { None };
                 if frame.carries() && descriptor.is_none() {
                     return self.damaged("a frame came without its descriptor".to_owned());
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -477,7 +477,6 @@
     fn gather(&mut self, inputs: &mut Vec<Input>) {
         let now = self.clock.now();
         let mut paused = self.serve_console(now);
-        self.replace(now, inputs);
         match &mut self.servers {
             Some(servers) => servers.gather(now, &self.state.known, inputs, &mut self.wheel, &mut self.log),
             None => self.executor.gather(now, inputs, &mut self.log),
--- a/src/net/replacing.rs
+++ b/src/net/replacing.rs
@@ -8,7 +8,7 @@
 use super::Worker;
 use crate::core::keys::KeyNews;
 use crate::core::{Input, LentRequest, Ticket};
-use crate::handover::frame::{Frame, Held, KeyState, Passed, Usage, VERSION};
+use crate::handover::frame::{Frame, Held, KeyEnd, KeyState, Passed, Usage, VERSION};
 use crate::handover::{Act, Door, Doubt, Event, PATIENCE_S};
 use std::net::TcpListener;
 use std::os::fd::OwnedFd;
@@ -23,8 +23,10 @@
 const FRONTS: usize = 2;
 const AJP: &str = "ajp";
 const HTTP2: &str = "http2";
-/// Keys that one process can tell another of.
-const KEYS_MOST: usize = 100_000;
+/// Of the memory limit, what results and keys that were sent may take before they are acted on: twice the room for
+/// results, since the old process may hold what an older one has sent it; and what a key without a result counts for.
+const STASH_PART: f64 = super::RESULT_PART / 2.0;
+const KEY_BYTES: usize = 256;
 /// Descriptors that a process holds beside its budget: standard streams, the loop's, links.
 const OVERHEAD: usize = 10;
 
@@ -33,6 +35,8 @@
 struct Stash {
     state: Option<Frame>,
     keys: Vec<KeyState>,
+    /// What the keys take, roughly (bytes).
+    bytes: usize,
     usage: Usage,
     passed: Vec<(Passed, OwnedFd)>,
     /// It has been acted on: what comes now is acted on as it comes.
@@ -172,6 +176,7 @@
     fn old_said(&mut self, now: f64, frame: Frame, descriptor: Option<OwnedFd>, inputs: &mut Vec<Input>) {
         let Some(r) = &mut self.replacement else { return };
         let adopted = r.stash.adopted;
+        let stash_most = (self.config.limits.memory_mb * 1024.0 * 1024.0 / STASH_PART) as usize;
         match frame {
             Frame::Welcome => self.door(now, Event::Welcomed, inputs),
             Frame::Stranger { why } => {
@@ -183,11 +188,15 @@
                 inputs.push(Input::Key(to_news(state, zero_ms(&self.clock), now + self.longest_window_s())));
             }
             // More than a process can have: no port worker is speaking.
-            _ if r.stash.keys.len() > KEYS_MOST || r.stash.passed.len() > self.config.limits.sockets => {
+            _ if r.stash.bytes > stash_most || r.stash.passed.len() > self.config.limits.sockets => {
                 self.log.line("handover: the old process says too much");
                 self.door(now, Event::Estranged, inputs);
             }
-            Frame::Key(state) => r.stash.keys.push(state),
+            Frame::Key(state) => {
+                let result = if let KeyEnd::Served(Some(result)) = &state.end { result.0.len() } else { 0 };
+                r.stash.bytes += KEY_BYTES + state.key.key.len() + result;
+                r.stash.keys.push(state);
+            }
             Frame::Usage(usage) if adopted => self.beside(usage, inputs),
             Frame::Usage(usage) => r.stash.usage = usage,
             Frame::Passed(passed) => {
@@ -281,9 +290,7 @@
             }
             Act::Lend => self.lend(now, inputs),
             Act::Part => {
-                for lent in std::mem::take(&mut r.lent) {
-                    self.http.connections.close(lent.request.ticket.0);
-                }
+                r.lent.clear();
                 for id in self.http.connections.ids_where(|c| c.stage == Stage::Lent) {
                     self.http.connections.close(id);
                 }
@@ -295,9 +302,10 @@
             Act::End => {
                 let longest =
                     self.settings.classes.iter().map(|c| c.deadline_s).fold(LONGEST_LEAST_S, f64::max);
-                let in_s = longest + KILL_AFTER_S - END_MARGIN_S;
-                r.ending = Some(r.ending.unwrap_or(now + in_s));
-                self.wheel.set(now, in_s, Timer::Again);
+                // A drain that was under way when the door went has its own stop.
+                let stop = self.leaving.as_ref().map_or(now + longest + KILL_AFTER_S, |l| l.stop);
+                r.ending = Some(stop - END_MARGIN_S);
+                self.wheel.set(now, stop - END_MARGIN_S - now, Timer::Again);
                 self.log.line("handover: told to leave; ends when nothing is owed");
             }
         }
@@ -305,22 +313,31 @@
 
     /// Lets clients in, and a successor.
     fn open(&mut self, now: f64) {
+        let Some(r) = &mut self.replacement else { return };
+        if let Err(e) = r.links.listen() {
+            self.log.line(&format!("handover: this process can't be replaced: {e}"));
+        }
+        self.let_in(now);
+        self.log.line("handover: the door is open here");
+    }
+
+    /// Opens all fronts, and nothing is lent any more.
+    fn let_in(&mut self, now: f64) {
         let Some(r) = &mut self.replacement else { return };
         self.state.passing = false;
         if let Some(core) = &mut self.core {
             core.end_lending();
+            core.believe(r.doubt);
+            self.wheel.set(now, 0.0, Timer::Beat);
+        }
+        // A drain may have closed the door for good.
+        if self.leaving.as_ref().is_some_and(|l| l.closed.is_some()) {
+            return;
         }
         if let Err(e) = self.http.open(&r.socket) {
             self.log.line(&format!("handover: the door can't be opened: {e}"));
         }
-        if let Err(e) = r.links.listen() {
-            self.log.line(&format!("handover: this process can't be replaced: {e}"));
-        }
         self.open_fronts();
-        self.log.line("handover: the door is open here");
-        if self.core.is_some() {
-            self.wheel.set(now, 0.0, Timer::Beat);
-        }
     }
 
     /// Lets clients in at the operator's fronts, on sockets that were sent or else at their addresses.
@@ -364,7 +381,8 @@
                 core.succeed(prints, running);
             }
             inputs.push(Input::Learned(learned));
-            self.drain(draining);
+            // Whoever asked this process for a drain while it waited means it all the same.
+            self.drain(draining || self.state.draining);
         }
         let zero = zero_ms(&self.clock);
         let latest = now + self.longest_window_s();
@@ -483,12 +501,8 @@
 
     /// The new process has ended before it said that it has all: everything is as it was before.
     fn take_back(&mut self, now: f64, inputs: &mut Vec<Input>) {
+        self.let_in(now);
         let Some(r) = &mut self.replacement else { return };
-        self.state.passing = false;
-        if let Some(core) = &mut self.core {
-            core.end_lending();
-            core.believe(r.doubt);
-        }
         for lent in std::mem::take(&mut r.lent) {
             self.http.connections.take_back(now, lent.request.ticket.0, true);
             inputs.push(Input::Arrived(lent.at(now)));
@@ -496,14 +510,6 @@
         for id in self.http.connections.ids_where(|c| c.stage == Stage::Lent) {
             self.http.connections.take_back(now, id, false);
         }
-        // A drain may have closed it for good.
-        if self.leaving.as_ref().map_or(true, |l| l.closed.is_none()) {
-            if let Err(e) = self.http.open(&r.socket) {
-                self.log.line(&format!("handover: the door can't be opened: {e}"));
-            }
-            self.open_fronts();
-        }
-        self.wheel.set(now, 0.0, Timer::Beat);
         self.log.line("handover: the door is taken back");
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -461,6 +461,14 @@
         command
     }
 
+    /// Runs the next request with this result, which its client then gets.
+    pub fn serve(&mut self, client: &mut Client, result: &str) {
+        let exec = self.next("EXEC");
+        self.exit(&exec["job"], "PASS", result);
+        let reply = client.answer();
+        assert_eq!((reply.status, &reply.body[..]), (200, result.as_bytes()));
+    }
+
     /// Asserts that nothing but questions for the gauges came so far: the answer to a marker request shows that
     /// the worker has seen all that was sent before.
     pub fn quiet_but_for(&mut self, site: &Site, seen: &str) {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1087,3 +1087,24 @@
     b.arrive(104, 0);
     assert!(b.pass(30.0, 0.0).contains(&Action::Health(false)));
 }
+
+/// What another process of the same worker uses counts against the crowd, the memory and the share of the calls.
+#[test]
+fn what_a_process_beside_uses_is_not_used_here_as_well() {
+    let beside = |on_cores, calling, kb| Event::Beside { on_cores, calling, kb };
+    let mut b = Bench::new(settings());
+    b.tell(beside(2, 0, 0.0));
+    assert!(starts(&b.arrive(1, 0)).is_empty());
+    assert_eq!(starts(&b.tell(beside(1, 0, 0.0))), [1]);
+    let mut b = Bench::new(settings());
+    b.tell(beside(0, 0, 99_000.0));
+    assert!(matches!(b.arrive(1, 0)[..], [Action::Refuse { .. }]));
+    b.tell(beside(0, 0, 0.0));
+    assert_eq!(starts(&b.arrive(2, 0)), [2]);
+    let mut b = Bench::new(with_calls(4.0));
+    b.tell(beside(0, 4, 0.0));
+    b.arrive(1, 0);
+    let made = |out: &[Action]| out.iter().any(|a| matches!(a, Action::Call { .. }));
+    assert!(!made(&b.tell(Event::AtCall(RequestId(1)))));
+    assert!(made(&b.tell(beside(0, 0, 0.0))));
+}
--- a/tests/http2/stories.rs
+++ b/tests/http2/stories.rs
@@ -433,14 +433,10 @@
         silent.push(if n % 2 == 0 { Peer::silent(&site) } else { Peer::connect(&site, &[]) });
         if n % 50 == 0 {
             router.send(&Ask::new("look"));
-            let job = starts(&mut executor, "look");
-            executor.exit(&job, "PASS", "seen");
-            assert_eq!(router.answer().body, b"seen");
+            executor.serve(&mut router, "seen");
         }
     }
     let mut newcomer = Client::connect(site.http);
     newcomer.send(&Ask::new("look"));
-    let job = starts(&mut executor, "look");
-    executor.exit(&job, "PASS", "seen");
-    assert_eq!(newcomer.answer().body, b"seen");
+    executor.serve(&mut newcomer, "seen");
 }
--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -92,9 +92,7 @@
     // One connection of each kind: idle, in the middle of a request, with a run, and with one that waits for a slot.
     let mut idle = Client::connect(old.http);
     idle.send(&Ask::new("look"));
-    let exec = old_executor.next("EXEC");
-    old_executor.exit(job(&exec), "PASS", "first");
-    assert_eq!(idle.answer().body, b"first");
+    old_executor.serve(&mut idle, "first");
     let text = Ask::new("look").text();
     let mut half = Client::connect(old.http);
     half.write(&text[..60]);
@@ -128,10 +126,7 @@
         if i > 0 {
             client.send(&Ask::new("look"));
         }
-        let exec = new_executor.next("EXEC");
-        new_executor.exit(job(&exec), "PASS", "of the new");
-        let reply = client.answer();
-        assert_eq!((reply.status, &reply.body[..]), (200, &b"of the new"[..]), "connection {i}");
+        new_executor.serve(client, "of the new");
     }
     assert!(old.ended_well());
     old.wait_log("left with all handed over");
@@ -189,9 +184,7 @@
     assert_eq!(client.ask(&again("k1")).status, 500);
     // The old process told of all its keys: another one runs.
     client.send(&again("k2"));
-    let exec = new_executor.next("EXEC");
-    new_executor.exit(job(&exec), "PASS", "placed");
-    assert_eq!(client.answer().body, b"placed");
+    new_executor.serve(&mut client, "placed");
 }
 
 #[test]
@@ -204,9 +197,7 @@
     old.wait_log("the new process has ended");
     let mut client = Client::connect(old.http);
     client.send(&Ask::new("look"));
-    let exec = old_executor.next("EXEC");
-    old_executor.exit(job(&exec), "PASS", "as ever");
-    assert_eq!(client.answer().body, b"as ever");
+    old_executor.serve(&mut client, "as ever");
     assert_eq!(old.call("GET", "/-/ready").0, 200);
 }
 
@@ -249,9 +240,7 @@
         old_executor.exit(job(exec), "PASS", "");
         assert_eq!(client.answer().status, 200);
     }
-    let exec = old_executor.next("EXEC");
-    old_executor.exit(job(&exec), "PASS", "placed");
-    assert_eq!(held.answer().body, b"placed");
+    old_executor.serve(&mut held, "placed");
     assert_eq!(old.figure("svc.replies.order.success"), 1);
     assert_eq!(old.figure("svc.concurrent"), 0);
 }
@@ -268,14 +257,10 @@
     old.wait_beat("ready");
     let mut client = Client::connect(old.http);
     client.send(&Ask::new("look"));
-    let exec = old_executor.next("EXEC");
-    old_executor.exit(job(&exec), "PASS", "");
-    assert_eq!(client.answer().status, 200);
+    old_executor.serve(&mut client, "");
     assert_eq!(client.ask(&again("k1")).status, 500);
     client.send(&order("k2"));
-    let exec = old_executor.next("EXEC");
-    old_executor.exit(job(&exec), "PASS", "placed");
-    assert_eq!(client.answer().body, b"placed");
+    old_executor.serve(&mut client, "placed");
     // And it can be replaced again.
     let (third, _executor) = second(&door);
     assert_eq!(third.health(), 200);
@@ -296,9 +281,7 @@
     let (mut new, mut new_executor) = second(&door);
     let mut fresh = Client::connect(new.http);
     fresh.send(&Ask::new("look"));
-    let exec = new_executor.next("EXEC");
-    new_executor.exit(job(&exec), "PASS", "");
-    assert_eq!(fresh.answer().status, 200);
+    new_executor.serve(&mut fresh, "");
     // Nobody knows what the old one runs: a key fails, even one that comes for the first time.
     assert_eq!(fresh.ask(&order("k2")).status, 500);
     old.hang(false);
@@ -307,9 +290,7 @@
     let mut fresh = Client::connect(new.http);
     assert_eq!(fresh.ask(&again("k1")).body, b"placed 1");
     client.send(&Ask::new("look"));
-    let exec = new_executor.next("EXEC");
-    new_executor.exit(job(&exec), "PASS", "on the old connection");
-    assert_eq!(client.answer().body, b"on the old connection");
+    new_executor.serve(&mut client, "on the old connection");
     old.terminate();
     assert!(old.ended_well());
 }
@@ -338,9 +319,7 @@
         let mut client = Client::connect(new.http);
         assert_eq!(client.ask(&order("k1")).status, 500);
         client.send(&Ask::new("look"));
-        let exec = executor.next("EXEC");
-        executor.exit(job(&exec), "PASS", "");
-        assert_eq!(client.answer().status, 200);
+        executor.serve(&mut client, "");
         // It is watched all the same: with its end the doubt gets one.
         let watched = damage.then(|| listener.accept().unwrap());
         let (link, watched) = (peer, watched);
@@ -378,9 +357,7 @@
     let mut client = Client::connect(site.http);
     assert_eq!(client.ask(&again("k1")).status, 500);
     client.send(&order("k2"));
-    let exec = executor.next("EXEC");
-    executor.exit(job(&exec), "PASS", "placed");
-    assert_eq!(client.answer().body, b"placed");
+    executor.serve(&mut client, "placed");
     // One that leaves in good order leaves no file.
     site.terminate();
     assert!(site.ended_well());
@@ -408,9 +385,7 @@
     assert_eq!(late.answer().body, b"placed");
     assert!(a.ended_well() && b.ended_well());
     client.send(&Ask::new("look"));
-    let exec = c_executor.next("EXEC");
-    c_executor.exit(job(&exec), "PASS", "two hops on");
-    assert_eq!(client.answer().body, b"two hops on");
+    c_executor.serve(&mut client, "two hops on");
 }
 
 #[test]
@@ -598,9 +573,7 @@
     assert_eq!(client.ask(&again("k1")).status, 500);
     assert_eq!(client.ask(&again("k2")).status, 500);
     client.send(&order("k3"));
-    let exec = executor.next("EXEC");
-    executor.exit(job(&exec), "PASS", "placed");
-    assert_eq!(client.answer().body, b"placed");
+    executor.serve(&mut client, "placed");
 }
 
 #[test]
@@ -628,9 +601,7 @@
     assert_eq!(open.answer().body, b"placed");
     assert_eq!(client.answer().body, b"placed");
     client.send(&Ask::new("look"));
-    let exec = new_next.next("EXEC");
-    new_next.exit(job(&exec), "PASS", "moved");
-    assert_eq!(client.answer().body, b"moved");
+    new_next.serve(&mut client, "moved");
     new.wait_beat("ready");
     old.terminate();
     assert!(old.ended_well());
@@ -648,3 +619,28 @@
     assert_eq!(old.call("GET", "/-/ready").0, 200);
     assert_eq!(old.health(), 200);
 }
+
+#[test]
+fn an_old_process_that_says_more_than_one_can_have_is_not_believed() {
+    let door = Door::new();
+    let listener = UnixListener::bind(door.socket()).unwrap();
+    let mut new = Site::at(&door, |c| c["limits"]["memory_mb"] = json!(16));
+    let mut peer = Peer::on(listener.accept().unwrap().0);
+    let _executor = new.link_silently();
+    assert!(matches!(peer.next(), Frame::Hello { .. }));
+    peer.say(&Frame::Welcome);
+    assert_eq!(peer.next(), Frame::Take);
+    // Results of 4 KiB, for keys without end.
+    let result = Bytes(vec![b'x'; 4096].into());
+    for n in 0..5000 {
+        let key = Key { class: 1, tenant: Some(0), key: format!("k{n}").into() };
+        let end = KeyEnd::Served(Some(result.clone()));
+        let state = Frame::Key(KeyState { key, print: 0, until_ms: 4e12, end });
+        if peer.stream.write_all(&state.encode()).is_err() {
+            break;
+        }
+    }
+    new.wait_log("the old process says too much");
+    wait_ready(&new);
+    assert!(new.resident_kb() < 24.0 * 1024.0, "{} KB", new.resident_kb());
+}
