Play twelve kinds of misuse of the HTTP/2 front beside routers' traffic in the lab

Need: what floods do to routers' answers, to the worker's memory and to its processor time was not measured. Change: lab/src/floods.rs writes frames without end on a few connections and opens them anew when they are closed; the play keeps the most of the worker's resident memory over what it had at rest.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -1,5 +1,6 @@
 //! An experiment, as its TOML file has it: a worker's world, the load on it, variants to compare, and what must hold.
 
+use crate::floods::Flood;
 use serde::Deserialize;
 use serde_json::{json, Value};
 use std::path::{Path, PathBuf};
@@ -136,6 +137,10 @@
     pub console_every_ms: Option<f64>,
     #[serde(default)]
     pub console_holders: usize,
+    /// On loopback: misuse of the `[http2]` of the operator's file, on so many connections.
+    pub flood: Option<Flood>,
+    #[serde(default = "flooders")]
+    pub flood_connections: usize,
 }
 
 /// A bound that must hold for a variant's mean over all seeds.
@@ -167,12 +172,16 @@
     60_000.0
 }
 
+fn flooders() -> usize {
+    4
+}
+
 fn need_kb() -> f64 {
     24.0
 }
 
 /// What `[[expect]]` may name.
-pub const METRICS: [&str; 13] = [
+pub const METRICS: [&str; 15] = [
     "in_aim",
     "refused",
     "worth",
@@ -186,6 +195,8 @@
     "console_p99_ms",
     "console_most_ms",
     "console_bad",
+    "memory_over_mb",
+    "flood_ended",
 ];
 
 impl Experiment {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod console;
 pub mod executor;
 pub mod experiment;
+
+pub mod floods;
 pub mod http2;
 pub mod limits;
 pub mod measure;
--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -59,6 +59,12 @@
     pub console: [f64; 3],
     pub console_made: u64,
     pub console_bad: u64,
+    /// The most of the worker's resident memory over what it had before anybody came (megabytes).
+    pub memory_over_mb: f64,
+    /// Connections of a flood: opened, and ended by the worker; and what it wrote (megabytes).
+    pub flood_connections: u64,
+    pub flood_ended: u64,
+    pub flood_mb: f64,
     /// The limit over time, where pools are on: seconds, slots, cause; on loopback as far as the log tells.
     pub limits: Vec<(f64, usize, String)>,
     /// What each pool started and turned away, all tries counted, where pools are on.
@@ -144,6 +150,8 @@
             "console_p99_ms" => self.console[1],
             "console_most_ms" => self.console[2],
             "console_bad" => self.console_bad as f64,
+            "memory_over_mb" => self.memory_over_mb,
+            "flood_ended" => self.flood_ended as f64,
             "p99_ms" => classes().map(|c| c.p99_ms).fold(0.0, f64::max),
             _ => f64::NAN,
         }
@@ -251,6 +259,18 @@
              cpu {cpu:.3} ms | | | |",
             variant.name
         );
+        let flooded: u64 = own.iter().map(|p| p.flood_connections).sum();
+        if flooded > 0 {
+            let ended: u64 = own.iter().map(|p| p.flood_ended).sum();
+            let over = own.iter().map(|p| p.memory_over_mb).fold(0.0, f64::max);
+            let _ = writeln!(
+                text,
+                "| {} | flood | connections {flooded} | ended {ended} | {:.1} MB a play | memory over rest, most \
+                 {over:.2} MB | | | | |",
+                variant.name,
+                mean(&|p| p.flood_mb).0
+            );
+        }
         let made: u64 = own.iter().map(|p| p.console_made).sum();
         if made > 0 {
             let most = own.iter().map(|p| p.console[2]).fold(0.0, f64::max);
--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -7,6 +7,7 @@
 use crate::console::{self, Calls};
 use crate::executor::{Executor, Notice, Work};
 use crate::experiment::{ClassModel, Experiment, Variant};
+use crate::floods;
 use crate::http2;
 use crate::measure::{End, Play, PoolResult, CROWD_BOUND, CROWD_S};
 use crate::records::Records;
@@ -109,6 +110,12 @@
     let address = child.address("http on ")?;
     let console =
         console.map(|(at, every_ms)| console::watch(at, every_ms, variant.console_holders, &called));
+    let rest_kb = child.resident_kb();
+    let peak = floods::watch_memory(child.resident(), &called);
+    let mut flooders = Vec::new();
+    if let Some(flood) = variant.flood {
+        flooders = floods::start(flood, variant.flood_connections, child.address("http2 on ")?, &called);
+    }
     clock.sleep_until(0.0);
     let ends = Arc::new(Mutex::new(vec![None; asked.len()]));
     let doors = match variant.http2_streams {
@@ -136,6 +143,13 @@
     let mut play = Play::of(experiment, &variant.name, seed, &asked, &lock(&ends));
     play.console = [calls.p50_ms, calls.p99_ms, calls.most_ms];
     (play.console_made, play.console_bad) = (calls.made, calls.bad);
+    play.memory_over_mb = (peak.join().unwrap_or(f64::INFINITY) - rest_kb) / 1024.0;
+    for flooder in flooders {
+        let came_to = flooder.join().map_err(|_| "a flooder's thread ended badly".to_owned())?;
+        play.flood_connections += came_to.connections;
+        play.flood_ended += came_to.ended;
+        play.flood_mb += came_to.bytes as f64 / 1e6;
+    }
     play.crowd_of_bound = executor.crowd_mean(CROWD_S) / CROWD_BOUND;
     play.most_on_cores = executor.most_on_cores;
     play.memory_growth = memory_after / memory.max(1.0);
@@ -218,9 +232,17 @@
     }
 
     fn resident_kb(&self) -> f64 {
-        let status = self.proc("status");
-        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-        line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0.0)
+        self.resident()()
+    }
+
+    /// A look at its resident memory, for another thread (kilobytes).
+    fn resident(&self) -> impl Fn() -> f64 + Send + 'static {
+        let path = format!("/proc/{}/status", self.child.id());
+        move || {
+            let status = std::fs::read_to_string(&path).unwrap_or_default();
+            let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+            line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0.0)
+        }
     }
 
     fn cpu_ms(&self) -> f64 {
