Read HTTP/2 clients that ask for nothing slowly, and bound newcomers and what waits for clients

Change: src/net/http2/conduct.rs (an allowance that requests refill; read slowly, then GOAWAY), lobby.rs (sessions of those that have not asked), backlog.rs (answers that wait, in all), connections.rs (connections at most); all in [http2].

--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -22,6 +22,11 @@
 #[serde(deny_unknown_fields)]
 pub struct Http2Settings {
     pub listen: SocketAddr,
+    /// Connections at most, and those among them that have a session and have not asked yet.
+    #[serde(default = "default_connections")]
+    pub connections: usize,
+    #[serde(default = "default_newcomers")]
+    pub newcomers: usize,
     /// Streams that a client may have open at once on a connection.
     #[serde(default = "default_streams")]
     pub streams: u32,
@@ -36,6 +41,9 @@
     /// Of a stream's answer, what may wait in the codec (KiB).
     #[serde(default = "default_send_buffer_kb")]
     pub send_buffer_kb: u32,
+    /// Answers that wait for clients' windows and sockets, in all (KiB).
+    #[serde(default = "default_waiting_kb")]
+    pub waiting_kb: u32,
     /// Streams reset before they were taken, and streams in error, before the connection is ended.
     #[serde(default = "default_pending_resets")]
     pub pending_resets: usize,
@@ -47,6 +55,31 @@
     /// How often a client that rests is asked for a sign of life (seconds); 0 for never.
     #[serde(default = "default_ping_s")]
     pub ping_s: f64,
+    /// What a client may send that asks for nothing: so much at once (KiB), and so much a second.
+    #[serde(default = "default_overhead_kb")]
+    pub overhead_kb: u32,
+    #[serde(default = "default_overhead_kb_per_s")]
+    pub overhead_kb_per_s: u32,
+}
+
+fn default_waiting_kb() -> u32 {
+    4096
+}
+
+fn default_overhead_kb() -> u32 {
+    64
+}
+
+fn default_overhead_kb_per_s() -> u32 {
+    4
+}
+
+fn default_connections() -> usize {
+    512
+}
+
+fn default_newcomers() -> usize {
+    32
 }
 
 fn default_idle_s() -> f64 {
@@ -93,6 +126,8 @@
             }
             Err(format!("http2.{key} is {value}; expected {least} to {most}"))
         };
+        within("connections", self.connections as u64, 1, 65_536)?;
+        within("newcomers", self.newcomers as u64, 1, 65_536)?;
         within("streams", u64::from(self.streams), 1, 1000)?;
         within("stream_window_kb", u64::from(self.stream_window_kb), 2, 1024)?;
         within("connection_window_kb", u64::from(self.connection_window_kb), 64, 16 * 1024)?;
@@ -100,6 +135,9 @@
         within("send_buffer_kb", u64::from(self.send_buffer_kb), 4, 1024)?;
         within("pending_resets", self.pending_resets as u64, 1, 10_000)?;
         within("error_resets", self.error_resets as u64, 1, 10_000)?;
+        within("waiting_kb", u64::from(self.waiting_kb), 64, 1024 * 1024)?;
+        within("overhead_kb", u64::from(self.overhead_kb), 16, 16 * 1024)?;
+        within("overhead_kb_per_s", u64::from(self.overhead_kb_per_s), 1, 1024)?;
         let lasts = |key: &str, value: f64, least: f64| {
             if (least..=3600.0).contains(&value) {
                 return Ok(());
@@ -320,6 +358,10 @@
                 "[http2]\nlisten = \"127.0.0.1:0\"\nstreams = 0\n".to_owned(),
                 "http2.streams is 0; expected 1 to 1000",
             ),
+            (
+                "[http2]\nlisten = \"127.0.0.1:0\"\nnewcomers = 0\n".to_owned(),
+                "http2.newcomers is 0; expected 1 to 65536",
+            ),
             ("[http2]\nlisten = \"here\"\n".to_owned(), "line 2"),
             ("[ajp".to_owned(), "line 1"),
         ] {
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -175,6 +175,13 @@
         }
     }
 
+    /// Gives back what the input buffer holds beyond its bytes, for a connection that may wait for long.
+    pub fn tighten(&mut self) {
+        self.input.drain(..self.start);
+        self.start = 0;
+        self.input.shrink_to_fit();
+    }
+
     /// What has been read and not yet consumed.
     pub fn data(&self) -> &[u8] {
         &self.input[self.start..]
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -169,6 +169,7 @@
     all: HashMap<u64, Connection<P>>,
     touched: Vec<u64>,
     silent_s: f64,
+    most: usize,
 }
 
 impl<P: Default> Connections<P> {
@@ -195,6 +196,7 @@
             all: HashMap::new(),
             touched: Vec::new(),
             silent_s: SILENT_S,
+            most: usize::MAX,
         }
     }
 
@@ -245,6 +247,11 @@
         self.all.is_empty()
     }
 
+    /// Keeps so many connections at most: beyond, whoever comes takes the place of one that rests, or is turned away.
+    pub fn at_most(&mut self, most: usize) {
+        self.most = most;
+    }
+
     /// Whoever comes takes the place of the oldest that has not asked in whole, however young that is.
     pub fn prefer_newest(&mut self) {
         self.silent_s = 0.0;
@@ -344,6 +351,9 @@
                 },
                 Accepted::Pause => return true,
             };
+            if self.all.len() >= self.most && !matches!(self.make_room(now), Room::Made) {
+                continue;
+            }
             let id = self.poll.fresh();
             if stream.set_nonblocking(true).is_err() {
                 continue;
--- /dev/null
+++ b/src/net/http2/conduct.rs
@@ -0,0 +1,225 @@
+//! How much a client may send that asks for nothing, and what becomes of one that sends more. No I/O: bytes, requests
+//! and the time come in, verdicts come out.
+//!
+//! A token bucket for each connection. Each byte that goes to the codec is paid for; a request gives back the size of
+//! its unpacked fields (RFC 7541, section 4.1) and of its body, which is more than it took on the wire. Whoever asks
+//! never runs short, while PING, SETTINGS, PRIORITY, WINDOW_UPDATE, empty DATA, and streams that are reset as soon as
+//! they are opened only cost. A client that has run short is read at the pace at which its allowance comes back, which
+//! its own socket then makes it feel; one that goes on so for [`PATIENCE_S`] is told to go. While one has run short of
+//! late, or was ended for an error, new connections begin with little: a flood gains nothing by connecting anew.
+
+/// Fewer bytes than this are not worth a look: a client that has run short waits until it may send so many.
+const LEAST_BYTES: f64 = 256.0;
+/// How long a client may be read slowly before it is told to go (seconds).
+const PATIENCE_S: f64 = 10.0;
+/// Of its allowance, what a client must have back before it counts as well-behaved again.
+const WELL: f64 = 0.5;
+/// How long new connections begin with little after a client has run short (seconds), and with how much: room for a
+/// preface, settings and a first request with many fields (bytes).
+const WARY_S: f64 = 10.0;
+const WARY_BYTES: f64 = 4096.0;
+
+/// What each connection may send that asks for nothing: so much at once, and so much a second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    pub most_bytes: f64,
+    pub bytes_per_s: f64,
+}
+
+/// What is to be done about what a client has sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Take so many bytes of it.
+    Take(usize),
+    /// Take nothing for now; `first` says that the client has just run short.
+    Wait { first: bool },
+    /// Tell it to go.
+    End,
+}
+
+/// One connection's account.
+#[derive(Clone, Debug)]
+pub struct Conduct {
+    allowance: Allowance,
+    left: f64,
+    at: f64,
+    /// Since when it has been short.
+    short: Option<f64>,
+}
+
+impl Conduct {
+    pub fn new(now: f64, allowance: Allowance, wary: bool) -> Conduct {
+        let left = if wary { WARY_BYTES.min(allowance.most_bytes) } else { allowance.most_bytes };
+        Conduct { allowance, left, at: now, short: None }
+    }
+
+    /// Of so many bytes that wait, how many may be taken; those are paid for with this call.
+    pub fn judge(&mut self, now: f64, waiting: usize) -> Verdict {
+        let came_back = (now - self.at).max(0.0) * self.allowance.bytes_per_s;
+        self.at = now;
+        self.give(came_back);
+        if self.left < LEAST_BYTES.min(waiting as f64) {
+            let first = self.short.is_none();
+            let since = *self.short.get_or_insert(now);
+            return if now - since < PATIENCE_S { Verdict::Wait { first } } else { Verdict::End };
+        }
+        let taken = waiting.min(self.left as usize);
+        self.left -= taken as f64;
+        Verdict::Take(taken)
+    }
+
+    /// A request has brought so many bytes of fields or body.
+    pub fn brought(&mut self, bytes: usize) {
+        self.give(bytes as f64);
+    }
+
+    /// A request was taken back that had brought so many bytes.
+    pub fn taken_back(&mut self, bytes: usize) {
+        // Not below nothing: what was given was capped, and an answered request must not become a debt.
+        self.left = (self.left - bytes as f64).max(0.0);
+    }
+
+    fn give(&mut self, bytes: f64) {
+        self.left = (self.left + bytes).min(self.allowance.most_bytes);
+        if self.left >= WELL * self.allowance.most_bytes {
+            self.short = None;
+        }
+    }
+}
+
+/// What the front remembers of clients that ran short or were ended for an error.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Wariness {
+    until: f64,
+}
+
+impl Wariness {
+    pub fn ran_short(&mut self, now: f64) {
+        self.until = now + WARY_S;
+    }
+
+    /// Whether a new connection begins with little.
+    pub fn wary(&self, now: f64) -> bool {
+        now < self.until
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const ALLOWANCE: Allowance = Allowance { most_bytes: 64.0 * 1024.0, bytes_per_s: 4096.0 };
+
+    /// Sends so many bytes in pieces every so often, and says what was taken in all and when it was told to go.
+    fn flood(mut conduct: Conduct, piece: usize, every_s: f64, for_s: f64) -> (usize, Option<f64>) {
+        let (mut now, mut taken) = (0.0, 0);
+        while now < for_s {
+            match conduct.judge(now, piece) {
+                Verdict::Take(n) => taken += n,
+                Verdict::Wait { .. } => {}
+                Verdict::End => return (taken, Some(now)),
+            }
+            now += every_s;
+        }
+        (taken, None)
+    }
+
+    #[test]
+    fn a_flood_is_read_at_the_pace_of_its_allowance_and_then_told_to_go() {
+        let (taken, ended) = flood(Conduct::new(0.0, ALLOWANCE, false), 8192, 0.001, 60.0);
+        let ended = ended.expect("told to go");
+        assert!((PATIENCE_S..PATIENCE_S + 0.1).contains(&ended), "{ended}");
+        let most = ALLOWANCE.most_bytes + ended * ALLOWANCE.bytes_per_s;
+        assert!(taken as f64 <= most && taken as f64 > 0.9 * most, "{taken} of {most}");
+    }
+
+    /// A flood that connects anew whenever it has spent what it began with.
+    #[test]
+    fn while_a_flood_lasts_new_connections_begin_with_little() {
+        let mut wariness = Wariness::default();
+        let (mut taken, mut now) = (0, 0.0);
+        for _ in 0..1000 {
+            let mut conduct = Conduct::new(now, ALLOWANCE, wariness.wary(now));
+            loop {
+                match conduct.judge(now, 8192) {
+                    Verdict::Take(n) => taken += n,
+                    Verdict::Wait { first } => {
+                        assert!(first);
+                        wariness.ran_short(now);
+                        break;
+                    }
+                    Verdict::End => panic!("at once"),
+                }
+            }
+            now += 0.01;
+        }
+        assert!(taken < 64 * 1024 + 1000 * 4096, "{taken}");
+        assert!(!wariness.wary(now + WARY_S));
+    }
+
+    #[test]
+    fn a_client_that_ran_short_and_asks_again_is_forgiven() {
+        let mut conduct = Conduct::new(0.0, ALLOWANCE, true);
+        assert_eq!(conduct.judge(0.0, 8192), Verdict::Take(4096));
+        assert_eq!(conduct.judge(0.0, 100), Verdict::Wait { first: true });
+        assert_eq!(conduct.judge(0.0, 100), Verdict::Wait { first: false });
+        conduct.brought(40 * 1024);
+        assert_eq!(conduct.judge(PATIENCE_S + 1.0, 8192), Verdict::Take(8192));
+        // What it asks for and takes back at once has brought nothing.
+        conduct.taken_back(1 << 20);
+        assert_eq!(conduct.judge(PATIENCE_S + 1.0, 8192), Verdict::Wait { first: true });
+        // Nothing waits: nothing to complain of, however long it rests.
+        assert_eq!(conduct.judge(3.0 * PATIENCE_S, 0), Verdict::Take(0));
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// Whoever asks is never made to wait, however its requests are cut and however little it began with.
+        #[test]
+        fn whoever_asks_never_runs_short(
+            wary in any::<bool>(),
+            requests in prop::collection::vec((20usize..400, 0usize..2048, 1usize..600), 1..200),
+        ) {
+            let mut conduct = Conduct::new(0.0, ALLOWANCE, wary);
+            for (head, body, cut) in requests {
+                // On the wire: frame heads of nine bytes, a settings or window update now and then.
+                let mut wire = 9 + head + body + 9 * body.div_ceil(1024) + 13;
+                let unpacked = head + 32 * 8;
+                while wire > 0 {
+                    let verdict = conduct.judge(0.0, cut.min(wire));
+                    prop_assert!(matches!(verdict, Verdict::Take(n) if n > 0), "{verdict:?}");
+                    if let Verdict::Take(n) = verdict {
+                        wire -= n;
+                    }
+                }
+                conduct.brought(unpacked);
+                conduct.brought(body);
+            }
+        }
+
+        /// Of what asks for nothing, never more is taken than the allowance holds, whatever the order of events.
+        #[test]
+        fn what_asks_for_nothing_is_bounded(events in prop::collection::vec((0u8..4, 0usize..10_000), 1..300)) {
+            let mut conduct = Conduct::new(0.0, ALLOWANCE, false);
+            let (mut now, mut taken, mut brought) = (0.0, 0usize, 0usize);
+            for (kind, n) in events {
+                match kind {
+                    0 => now += n as f64 / 1000.0,
+                    1 => {
+                        conduct.brought(n);
+                        brought += n;
+                    }
+                    2 => conduct.taken_back(n),
+                    _ => if let Verdict::Take(m) = conduct.judge(now, n) {
+                        prop_assert!(m <= n);
+                        taken += m;
+                    },
+                }
+                let most = ALLOWANCE.most_bytes + now * ALLOWANCE.bytes_per_s + brought as f64;
+                prop_assert!(taken as f64 <= most + 1.0, "{} of {}", taken, most);
+            }
+        }
+    }
+}
--- a/src/net/http2/mod.rs
+++ b/src/net/http2/mod.rs
@@ -2,8 +2,13 @@
 //!
 //! `pipe` and `session` hold one connection without a socket; this file joins them to the loop. What the codec does not
 //! bound is bounded here: bytes and streams taken from one connection in a turn, bodies, answers that wait for windows,
-//! connections that say nothing.
+//! through `lobby` the
+//! sessions of those that have not asked, through `conduct` what asks for nothing, and through `backlog` answers that
+//! wait in all.
 
+mod backlog;
+mod conduct;
+mod lobby;
 mod pipe;
 mod session;
 #[cfg(test)]
@@ -15,6 +20,10 @@
 use super::{Clock, State};
 use crate::config::Http2Settings;
 use crate::core::{Answer, Input, Ticket};
+use crate::net::Log;
+use backlog::Waiting;
+use conduct::{Allowance, Conduct, Verdict, Wariness};
+use lobby::Lobby;
 use session::Session;
 use std::collections::HashMap;
 use std::net::TcpListener;
@@ -34,10 +43,17 @@
 /// Output that waits for a client's socket before the codec is stopped (bytes).
 const QUEUE_MOST: usize = 64 * 1024;
 
-/// A connection's session, once its preface is here, and when bytes last went out while some waited.
+fn allowance(settings: &Http2Settings) -> Allowance {
+    Allowance {
+        most_bytes: f64::from(settings.overhead_kb) * 1024.0,
+        bytes_per_s: f64::from(settings.overhead_kb_per_s) * 1024.0,
+    }
+}
+
+/// A connection's session and account, once its preface is here, and when bytes last went out while some waited.
 #[derive(Default)]
 pub struct Memory {
-    session: Option<Box<Session>>,
+    session: Option<Box<(Session, Conduct)>>,
     sent: u64,
     sent_at: f64,
 }
@@ -48,13 +64,17 @@
     poll: Poll,
     /// By ticket: the connection on which its answer is owed.
     owners: HashMap<u64, u64>,
+    wariness: Wariness,
+    lobby: Lobby,
 }
 
 impl Http2Front {
     /// A front that lets nobody in yet.
     pub fn shut(poll: &Poll, settings: Http2Settings) -> Http2Front {
-        let connections = Connections::shut(poll, Place::Http2, ROOM);
-        Http2Front { connections, settings, poll: poll.clone(), owners: HashMap::new() }
+        let mut connections = Connections::shut(poll, Place::Http2, ROOM);
+        connections.at_most(settings.connections);
+        let (lobby, wariness) = (Lobby::new(settings.newcomers), Wariness::default());
+        Http2Front { connections, settings, poll: poll.clone(), owners: HashMap::new(), wariness, lobby }
     }
 
     /// Lets clients in, at a socket that listens already or at the address of its settings.
@@ -71,16 +91,26 @@
         self.owners.contains_key(&ticket.0)
     }
 
-    /// Accepts and reads; `true` if accepting had to be broken off and wants another look.
-    pub fn gather(&mut self, clock: &Clock, state: &State, inputs: &mut Vec<Input>) -> bool {
-        let paused = self.connections.accept(clock.now());
+    /// Accepts and reads; `true` if accepting had to be broken off, or newcomers wait, and another look is wanted.
+    pub fn gather(&mut self, clock: &Clock, state: &State, inputs: &mut Vec<Input>, log: &mut Log) -> bool {
+        let now = clock.now();
+        let paused = self.connections.accept(now);
+        if self.lobby.waits() {
+            self.lobby.keep(|id| self.connections.owns(id));
+            while let Some(moved) = self.lobby.move_up(now) {
+                if let Some(id) = moved.out {
+                    self.close(id, inputs);
+                }
+                self.connections.touch(moved.seated);
+            }
+        }
         for id in self.connections.take_touched() {
-            self.look(id, clock, state, inputs);
+            self.look(id, clock, state, inputs, log);
         }
-        paused
+        paused || self.lobby.waits()
     }
 
-    fn look(&mut self, id: u64, clock: &Clock, state: &State, inputs: &mut Vec<Input>) {
+    fn look(&mut self, id: u64, clock: &Clock, state: &State, inputs: &mut Vec<Input>, log: &mut Log) {
         let now = clock.now();
         let Some(c) = self.connections.get_mut(id) else { return };
         if c.stage == Stage::Closing || c.stage == Stage::Answering {
@@ -118,14 +148,37 @@
                     self.close(id, inputs);
                 } else if n > 0 && c.stage == Stage::Idle {
                     c.step(now, Stage::Reading);
+                } else if n == 0 {
+                    c.link.shrink();
                 }
                 return;
             }
-            c.memory.session = Some(Box::new(Session::new(&self.settings)));
+            if !self.lobby.enter(now, id) {
+                c.link.tighten();
+                return;
+            }
+            let conduct = Conduct::new(now, allowance(&self.settings), self.wariness.wary(now));
+            c.memory.session = Some(Box::new((Session::new(&self.settings), conduct)));
         }
         let poll = self.poll.clone();
-        let Some(session) = &mut c.memory.session else { return };
-        let n = c.link.data().len().min(session.pipe().room()).min(BYTES_A_LOOK);
+        let Some(both) = &mut c.memory.session else { return };
+        let (session, conduct) = (&mut both.0, &mut both.1);
+        let room = c.link.data().len().min(session.pipe().room()).min(BYTES_A_LOOK);
+        let (n, waits) = match conduct.judge(now, room) {
+            Verdict::Take(n) => (n, false),
+            Verdict::Wait { first } => {
+                if first {
+                    self.wariness.ran_short(now);
+                    log.often("http2: a client sends much that asks for nothing: it is read slowly");
+                }
+                (0, true)
+            }
+            Verdict::End => {
+                log.often("http2: a client goes on sending what asks for nothing: it is told to go");
+                session.calm();
+                (0, true)
+            }
+        };
         session.pipe().feed(&c.link.data()[..n]);
         c.link.consume(n);
         if filled == Filled::Ended && c.link.data().is_empty() {
@@ -133,6 +186,8 @@
         }
         let before = session.taken();
         let seen = session.look(clock, state, STREAMS_A_LOOK, &|| poll.fresh());
+        conduct.brought(seen.brought);
+        conduct.taken_back(seen.taken_back);
         if c.link.queued() < QUEUE_MOST {
             let output = session.pipe().drain();
             if !output.is_empty() {
@@ -141,11 +196,16 @@
         }
         let (busy, took) = (session.busy(), session.taken() > before);
         // More may be there than one look takes; and what could not be fed waits in the link.
-        let again = n == BYTES_A_LOOK || session.pipe().unread() > 0 && n > 0 || c.link.unread();
+        // A client that has run short waits for the sweep.
+        let more = n == BYTES_A_LOOK || session.pipe().unread() > 0 && n > 0 || c.link.unread();
+        let again = more && !waits;
         let flushed = c.link.flush();
         if c.link.sent != c.memory.sent || c.link.queued() == 0 {
             (c.memory.sent, c.memory.sent_at) = (c.link.sent, now);
         }
+        if took {
+            self.lobby.leave(id);
+        }
         if took && c.stage != Stage::Asked {
             // By way of reading: a connection that has asked is no silent one when some must go.
             c.step(now, Stage::Reading);
@@ -165,6 +225,9 @@
         if flushed.is_err() {
             return self.close(id, inputs);
         }
+        if seen.broke {
+            self.wariness.ran_short(now);
+        }
         if seen.over {
             return self.finish(id, now, inputs);
         }
@@ -177,8 +240,9 @@
     /// has gone.
     fn finish(&mut self, id: u64, now: f64, inputs: &mut Vec<Input>) {
         self.forget(id, inputs);
+        self.lobby.leave(id);
         let Some(c) = self.connections.get_mut(id) else { return };
-        if let Some(session) = c.memory.session.take() {
+        if let Some((session, _)) = c.memory.session.take().map(|both| *both) {
             let output = session.pipe().drain();
             if !output.is_empty() {
                 c.link.push(output);
@@ -191,7 +255,7 @@
 
     fn forget(&mut self, id: u64, inputs: &mut Vec<Input>) {
         let Some(c) = self.connections.get_mut(id) else { return };
-        for ticket in c.memory.session.iter().flat_map(|s| s.asked()) {
+        for ticket in c.memory.session.iter().flat_map(|s| s.0.asked()) {
             self.owners.remove(&ticket.0);
             inputs.push(Input::Gone(ticket));
         }
@@ -199,6 +263,7 @@
 
     fn close(&mut self, id: u64, inputs: &mut Vec<Input>) {
         self.forget(id, inputs);
+        self.lobby.leave(id);
         self.connections.close(id);
     }
 
@@ -206,7 +271,7 @@
     pub fn answer(&mut self, now: f64, ticket: Ticket, answer: Answer, state: &State) {
         let Some(id) = self.owners.remove(&ticket.0) else { return };
         let Some(c) = self.connections.get_mut(id) else { return };
-        if let Some(session) = &mut c.memory.session {
+        if let Some((session, _)) = c.memory.session.as_deref_mut() {
             session.answer(now, ticket, answer, state);
         }
         self.connections.touch(id);
@@ -214,18 +279,33 @@
 
     /// Closes clients that take nothing of what waits for them, and has all others looked at: streams that are too
     /// slow end by time alone.
-    pub fn sweep(&mut self, now: f64, inputs: &mut Vec<Input>) {
+    pub fn sweep(&mut self, now: f64, inputs: &mut Vec<Input>, log: &mut Log) {
         let stuck = |m: &Memory, queued: usize| queued > 0 && now - m.sent_at > SLOW_ANSWER_S;
         for id in self.connections.ids_where(|c| c.stage == Stage::Asked && stuck(&c.memory, c.link.queued()))
         {
             self.close(id, inputs);
         }
+        let mut waiting = Vec::new();
+        for id in self.connections.ids_where(|c| c.memory.session.is_some()) {
+            let Some(c) = self.connections.get_mut(id) else { continue };
+            let bytes = c.memory.session.as_ref().map_or(0, |s| s.0.waiting()) + c.link.queued();
+            waiting.push(Waiting { id, bytes });
+        }
+        for id in backlog::too_much(waiting, self.settings.waiting_kb as usize * 1024) {
+            log.often("http2: too much waits for clients: who has most of it is told to go");
+            if let Some((session, _)) =
+                self.connections.get_mut(id).and_then(|c| c.memory.session.as_deref_mut())
+            {
+                session.calm();
+            }
+            self.finish(id, now, inputs);
+        }
         let settings = &self.settings;
         let mut over = Vec::new();
         for id in self.connections.ids_where(|c| c.stage == Stage::Idle) {
             let Some(c) = self.connections.get_mut(id) else { continue };
             let since = c.since();
-            if c.memory.session.as_mut().is_some_and(|s| s.rest(now, since, settings)) {
+            if c.memory.session.as_mut().is_some_and(|s| s.0.rest(now, since, settings)) {
                 over.push(id);
             }
         }
--- a/src/net/http2/session.rs
+++ b/src/net/http2/session.rs
@@ -83,6 +83,8 @@
     respond: SendResponse<Bytes>,
     stage: Stage,
     since: f64,
+    /// Bytes of fields and body that its request has brought.
+    brought: usize,
 }
 
 /// What a look at a connection has brought.
@@ -91,8 +93,13 @@
     pub requests: Vec<Request>,
     /// Streams whose caller has gone while the core owed word.
     pub gone: Vec<Ticket>,
+    /// Bytes of fields and bodies that requests have brought, and those of requests that were taken back.
+    pub brought: usize,
+    pub taken_back: usize,
     /// The connection is over: to be closed when all is written.
     pub over: bool,
+    /// The codec has ended it for an error of the client.
+    pub broke: bool,
 }
 
 /// A connection past its preface.
@@ -196,6 +203,22 @@
         seen
     }
 
+    /// Tells a client that sends without end and asks for nothing to go.
+    pub fn calm(&mut self) {
+        if let Codec::Open(connection) = &mut self.codec {
+            connection.abrupt_shutdown(Reason::ENHANCE_YOUR_CALM);
+            // Has the codec write it.
+            let waker = self.waker.clone();
+            let _ = connection.poll_closed(&mut Context::from_waker(&waker));
+        }
+    }
+
+    /// Bytes of answers that wait for the client's windows.
+    pub fn waiting(&self) -> usize {
+        let rest = |s: &Stream| if let Stage::Sending { rest, .. } = &s.stage { rest.remaining() } else { 0 };
+        self.streams.values().map(rest).sum()
+    }
+
     /// What becomes of a client without a stream since `since`: it is asked for a sign of life, told to go when it has
     /// been idle for long, and closed (`true`) where it answers neither.
     pub fn rest(&mut self, now: f64, since: f64, set: &Http2Settings) -> bool {
@@ -245,16 +268,23 @@
         for _ in 0..most {
             match connection.poll_accept(cx) {
                 Poll::Pending => return any,
-                Poll::Ready(None) | Poll::Ready(Some(Err(_))) => {
+                Poll::Ready(end @ (None | Some(Err(_)))) => {
                     seen.over = true;
+                    seen.broke = matches!(end, Some(Err(e)) if e.is_library());
                     return any;
                 }
                 Poll::Ready(Some(Ok((request, respond)))) => {
                     any = true;
                     self.taken += 1;
                     let (head, recv) = request.into_parts();
-                    let mut stream = Stream { respond, stage: Stage::Asked, since: clock.now() };
-                    match read_head(&head, state) {
+                    let (stage, since) = (Stage::Asked, clock.now());
+                    let mut stream = Stream { respond, stage, since, brought: 0 };
+                    let read = read_head(&head, state);
+                    if read.is_ok() {
+                        stream.brought = unpacked_size(&head);
+                        seen.brought += stream.brought;
+                    }
+                    match read {
                         Ok((Target::Check, _)) => {
                             let good = state.good();
                             stream.say(
@@ -291,13 +321,16 @@
                 if matches!(stream.stage, Stage::Asked) {
                     seen.gone.push(Ticket(*ticket));
                 }
+                seen.taken_back += stream.brought;
                 over.push(*ticket);
                 continue;
             }
+            let before = stream.brought;
             if let Some(request) = stream.gather(cx, Ticket(*ticket), clock, state) {
                 seen.requests.push(request);
                 moved = true;
             }
+            seen.brought += stream.brought - before;
             moved |= stream.send(cx);
             let lasts = now - stream.since;
             match &mut stream.stage {
@@ -345,6 +378,7 @@
                         return None;
                     }
                     body.extend_from_slice(&data);
+                    self.brought += data.len();
                     // Only what was taken opens the window again.
                     let _ = recv.flow_control().release_capacity(data.len());
                 }
@@ -434,6 +468,14 @@
     }
 }
 
+/// What a request's fields take unpacked (bytes; RFC 7541, section 4.1): no less than they took on the wire.
+fn unpacked_size(head: &http::request::Parts) -> usize {
+    const A_FIELD: usize = 32;
+    let target = head.method.as_str().len() + head.uri.path_and_query().map_or(0, |p| p.as_str().len());
+    let fields = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + A_FIELD);
+    target + 4 * A_FIELD + fields.sum::<usize>()
+}
+
 /// Checks the pseudo-headers and collects the platform's fields.
 fn read_head(head: &http::request::Parts, state: &State) -> Result<(Target, Fields), Fail> {
     let path = head.uri.path_and_query().map_or("", |p| p.as_str());
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -495,7 +495,7 @@
         }
         paused |= self.http.gather(&self.clock, &self.state, inputs);
         if let Some(http2) = &mut self.http2 {
-            paused |= http2.gather(&self.clock, &self.state, inputs);
+            paused |= http2.gather(&self.clock, &self.state, inputs, &mut self.log);
         }
         if let Some(ajp) = &mut self.ajp {
             let (clock, state, log) = (&self.clock, &self.state, &mut self.log);
--- a/tests/http2/stories.rs
+++ b/tests/http2/stories.rs
@@ -6,6 +6,7 @@
 use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::time::Duration;
 
 fn starts(executor: &mut Executor, class: &str) -> Value {
     let command = executor.next("EXEC");
@@ -311,6 +312,37 @@
     assert_eq!(client.answer().body, b"seen");
 }
 
+/// PING is answered, so a client that sent nothing else could keep the worker's core to itself for as long as it liked.
+#[test]
+fn a_flood_that_asks_for_nothing_is_read_slowly_and_told_to_go_and_whoever_asks_is_not() {
+    let mut site = Site::with(|_| {}, Some(FRONT));
+    let (mut executor, mut asks) = (site.link(), Peer::connect(&site, &[]));
+    let mut flood = Peer::connect(&site, &[]);
+    flood.ask(1, "look", None, "hello");
+    let job = starts(&mut executor, "look");
+    executor.exit(&job, "PASS", "seen");
+    assert_eq!(flood.answer(1).body, b"seen");
+    flood.stream.set_write_timeout(Some(Duration::from_millis(200))).unwrap();
+    let pings = Peer::bytes(PING, ACK, 0, b"whatever").repeat(1000);
+    // What is not taken piles up on its own side: far less than this fits into the system's buffers.
+    let held_back = (0..4000).any(|_| flood.stream.write_all(&pings).is_err());
+    assert!(held_back, "the worker took in 68 MB that ask for nothing");
+    site.wait_log("it is read slowly");
+    // Far more than the allowance, all of it asked for; and a newcomer, which begins with little.
+    let mut newcomer = Peer::connect(&site, &[]);
+    for n in 0..100 {
+        for peer in [&mut asks, &mut newcomer] {
+            peer.ask(2 * n + 1, "look", None, &"x".repeat(2000));
+            let job = starts(&mut executor, "look");
+            executor.exit(&job, "PASS", "seen");
+            assert_eq!(peer.answer(2 * n + 1).body, b"seen");
+        }
+    }
+    let ended = std::iter::from_fn(|| flood.read()).find(|f| f.kind == GOAWAY).map(|f| f.code(4));
+    assert_eq!(ended, Some(ENHANCE_YOUR_CALM));
+    site.wait_log("it is told to go");
+}
+
 #[test]
 fn a_hundred_streams_of_one_connection_leave_routers_their_turn() {
     let site = Site::with(|c| c["settings"]["domain"]["nCores"] = json!(64), Some(FRONT));
@@ -439,4 +471,56 @@
     let mut newcomer = Client::connect(site.http);
     newcomer.send(&Ask::new("look"));
     executor.serve(&mut newcomer, "seen");
+    // Far more stand there than have a seat: whoever asks gets one all the same.
+    let mut asks = Peer::connect(&site, &[]);
+    asks.ask(1, "look", None, "hello");
+    let job = starts(&mut executor, "look");
+    executor.exit(&job, "PASS", "seen");
+    assert_eq!(asks.answer(1).body, b"seen");
+}
+
+/// Each connection kept within its bounds, and all together held far more than the worker has.
+#[test]
+fn answers_that_wait_are_bounded_in_all_and_who_has_most_of_them_is_told_to_go() {
+    let cores = |c: &mut Value| c["settings"]["domain"]["nCores"] = json!(64);
+    let mut site = Site::with(cores, Some(&format!("{FRONT}waiting_kb = 64\n")));
+    let mut executor = site.link();
+    // Windows of 0: nothing of an answer's body may be sent.
+    let (mut hoards, mut patient) = (Peer::connect(&site, &[(4, 0)]), Peer::connect(&site, &[(4, 0)]));
+    patient.ask(1, "look", None, "hello");
+    let job = starts(&mut executor, "look");
+    executor.exit(&job, "PASS", &"y".repeat(4000));
+    for n in 0..20 {
+        hoards.ask(2 * n + 1, "look", None, "hello");
+        let job = starts(&mut executor, "look");
+        executor.exit(&job, "PASS", &"x".repeat(4000));
+    }
+    assert_eq!(hoards.goaway().1, ENHANCE_YOUR_CALM);
+    assert!(hoards.closed());
+    site.wait_log("too much waits for clients");
+    patient.window(1, 4000);
+    assert_eq!(patient.answer(1).body.len(), 4000);
+}
+
+#[test]
+fn beyond_the_bound_on_connections_whoever_rests_makes_room_and_busy_ones_stay() {
+    let site = Site::with(|_| {}, Some(&format!("{FRONT}connections = 2\n")));
+    let mut executor = site.link();
+    let mut ask = |peer: &mut Peer, stream: u32| {
+        peer.ask(stream, "look", None, "hello");
+        starts(&mut executor, "look")
+    };
+    let (mut rests, mut busy) = (Peer::connect(&site, &[]), Peer::connect(&site, &[]));
+    let (first, second) = (ask(&mut rests, 1), ask(&mut busy, 1));
+    // Both are busy: the third is closed at once.
+    assert!(Peer::connect(&site, &[]).closed());
+    executor.exit(&first, "PASS", "seen");
+    assert_eq!(rests.answer(1).body, b"seen");
+    let mut third = Peer::connect(&site, &[]);
+    third.ask(1, "look", None, "hello");
+    let job = starts(&mut executor, "look");
+    assert!(rests.closed());
+    executor.exit(&second, "PASS", "seen");
+    executor.exit(&job, "PASS", "seen");
+    assert_eq!((busy.answer(1).body, third.answer(1).body), (b"seen".to_vec(), b"seen".to_vec()));
 }
