Give a successor the tenants' buckets, arrivals, and the budget for calls

Need: both processes of a replacement count as one worker for rules and limits, but Learned (interface.rs) passed run limit, lengths and room alone: each replacement gave every tenant its whole bucket (2 s of its rate) and the calls a full budget, forgot that others refuse, and how runs had ended. Change: Learned carries Traffic and the budget; brain.rs takes the lesser of it and its own; core/lending.rs gives back a token for each lent request, which is paid for where it is decided on. Measured: the new test fails without the change (bucket whole at the successor); traces, lending and replacement pass.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -6,7 +6,7 @@
 
 use crate::interface::{
     Action, Arrival, Class, Dependency, Effect, Event, Gauges, Halting, Learned, Outcome, PoolPlan,
-    RequestId, Settings, Signal,
+    RequestId, Settings, Signal, Traffic,
 };
 use crate::pools::{Place, Pools};
 use std::collections::{BTreeMap, BTreeSet};
@@ -176,8 +176,7 @@
     fn advance(&mut self, under_way: f64, dt: f64) {
         if self.ended > PRIOR_RUNS {
             let fade = (-dt / MEASURE_S).exp();
-            self.spent *= fade;
-            self.ended *= fade;
+            (self.spent, self.ended) = (self.spent * fade, self.ended * fade);
         }
         self.spent = (self.spent + under_way * dt).min(self.longest * self.ended);
     }
@@ -437,7 +436,11 @@
         let paces = self.pace.iter().map(|p| (p.spent, p.ended, p.hinted)).collect();
         let (runs, usual_s, c) = (self.limit.runs, self.usual, &self.call_bound);
         let call_s = Some(c.shortest).filter(|s| s.is_finite());
-        Learned { runs, usual_s, paces, call_room: c.room, call_s, calls: c.lately }
+        let (call_room, calls, call_budget_s) = (c.room, c.lately, Some(c.budget));
+        let quotas = self.quotas.iter().map(|q| (q.tokens, q.asked)).collect();
+        let lately = (self.further, self.sickness.failed, self.sickness.ended);
+        let traffic = Traffic { quotas, arrivals: self.inflow.clone(), lately };
+        Learned { runs, usual_s, paces, call_room, call_s, calls, call_budget_s, traffic }
     }
 
     fn learn(&mut self, l: Learned) {
@@ -446,6 +449,11 @@
         taught.for_each(|(p, (spent, ended, hinted))| (p.spent, p.ended, p.hinted) = (spent, ended, hinted));
         let (c, call_s) = (&mut self.call_bound, l.call_s.unwrap_or(f64::INFINITY));
         (c.room, c.lately, c.shortest) = (l.call_room.min(c.top.max(1.0)), l.calls, call_s);
+        c.budget = l.call_budget_s.map_or(c.budget, |had| had.min(c.budget));
+        let had = self.quotas.iter_mut().zip(l.traffic.quotas);
+        had.for_each(|(q, (left, asked))| (q.tokens, q.asked) = (left.min(q.tokens), asked));
+        self.inflow.iter_mut().zip(l.traffic.arrivals).for_each(|(n, was)| *n = was);
+        (self.further, self.sickness.failed, self.sickness.ended) = l.traffic.lately;
     }
 
     /// Requests that no later event or action of this controller will name.
@@ -657,10 +665,8 @@
         let needs = calls && self.class(r.class).skipped_worth <= 0.0;
         let no_call = needs && wait + self.call_bound.length() > within;
         let rate = self.capacity(r.class);
-        let left = match &self.pools {
-            Some(_) => POOL_WAIT,
-            None => (1.0 - self.inflow[..r.tier].iter().sum::<f64>() / rate).max(0.1),
-        };
+        let before: f64 = self.inflow[..r.tier].iter().sum();
+        let left = if self.pools.is_some() { POOL_WAIT } else { (1.0 - before / rate).max(0.1) };
         // A greedy account's excess may wait for as little as it is worth.
         let part = if r.greedy { self.set.over_quota_worth } else { 1.0 };
         let j = (spare * rate * left * part).max(1.0);
@@ -679,13 +685,9 @@
         let held = self.hold[..=tier].iter().flatten();
         let ahead = held.filter(|id| self.beside(id, class)).count();
         let half = (ahead as f64 / self.capacity(class) / 2.0).max(4.0 * SWEEP_S);
-        let keep_off = self.fleet_full() && next < most * COME_BACK;
-        let least = if keep_off { next } else { 0.0 };
-        if self.well {
-            half.max(least).min(most)
-        } else {
-            most
-        }
+        let least = if self.fleet_full() && next < most * COME_BACK { next } else { 0.0 };
+        let away = if self.well { half.max(least) } else { most };
+        away.min(most)
     }
 
     /// Sick: what has not run may still be served elsewhere; one safe request at a time is kept to try. In a
@@ -935,10 +937,9 @@
             let next = self.parked.iter().flatten().find(|id| !self.requests[id].settled);
             let Some(&id) = next else { return };
             // One that never answers must not hold its slot, nor what can go on without, until nobody waits.
-            let (r, length) = (&self.requests[&id], self.call_bound.length());
+            let (r, bound, length) = (&self.requests[&id], &self.call_bound, self.call_bound.length());
             let (class, last) = (self.class(r.class), self.last_call(r));
-            let part =
-                if self.call_bound.shortest.is_finite() { CALL_PATIENCE_OF_AIM } else { f64::INFINITY };
+            let part = if bound.shortest.is_finite() { CALL_PATIENCE_OF_AIM } else { f64::INFINITY };
             let lengths = CALL_PATIENCE * if class.effect == Effect::Safe { 1.0 } else { 2.0 };
             let patience = (length * lengths).max(class.aim_s * part);
             let mut until_s = (r.due - SWEEP_S).min(self.now + patience).min(last + CALL_SLOW * length);
@@ -963,8 +964,7 @@
     /// A free slot starts the oldest of the highest non-empty tier. What can't end in time is refused, but
     /// for one run at a time: else a worker would never learn that it is quick again.
     fn start(&mut self, out: &mut Vec<Action>) {
-        loop {
-            let Some(id) = self.next_to_start() else { return };
+        while let Some(id) = self.next_to_start() {
             let r = &self.requests[&id];
             let ends = self.now + self.pace[r.class].plan(r.hint);
             let hopeless = ends > r.aim_at && (self.running() > 0 || self.now > r.aim_at);
@@ -1027,8 +1027,8 @@
                 self.leave_call_out(id, out);
             }
         }
-        let over =
-            |e: &Entry| e.kept_until <= self.now && !e.tries.iter().any(|t| self.requests.contains_key(t));
+        let known = |id: &RequestId| self.requests.contains_key(id);
+        let over = |e: &Entry| e.kept_until <= self.now && !e.tries.iter().any(known);
         let gone: Vec<RequestId> = self.entries.iter().filter(|(_, e)| over(e)).map(|(id, _)| *id).collect();
         gone.into_iter().for_each(|id| self.drop_entry(id));
         self.call_bound.look(self.parked.iter().any(|q| !q.is_empty()));
--- a/src/core/lending.rs
+++ b/src/core/lending.rs
@@ -105,9 +105,16 @@
         self.key_news.clear();
         self.lent = true;
         let names: Vec<KeyName> = self.keys.names().cloned().collect();
+        let mut learned = self.controller.learned();
+        // They are paid for where they are decided on, which is now the successor.
+        for tenant in requests.iter().filter_map(|r: &LentRequest| r.request.tenant) {
+            if let Some(quota) = learned.traffic.quotas.get_mut(tenant) {
+                *quota = (quota.0 + 1.0, (quota.1 - 1.0).max(0.0));
+            }
+        }
         Lent {
             prints: self.prints,
-            learned: self.controller.learned(),
+            learned,
             running: self.requests.values().filter(|h| h.started).map(|h| h.request.name.clone()).collect(),
             keys: names.iter().map(|name| self.keys.news(name)).collect(),
             requests,
--- a/src/core/tests/lending.rs
+++ b/src/core/tests/lending.rs
@@ -258,6 +258,36 @@
     }
 }
 
+/// Each replacement gave every tenant its whole bucket again, and called a flood of further tries quiet.
+#[test]
+fn a_tenant_over_its_quota_gains_nothing_by_a_replacement() {
+    let of_tenant = |number| Request { tenant: Some(0), retry: true, ..request(number, "") };
+    let with_quota = || Play::with(Settings { tenants: vec![Tenant { quota_per_s: 3.0 }], ..settings() });
+    let lent = |p: &mut Play| p.core.lend(p.now, |_| true, &mut Vec::new());
+    let mut old = with_quota();
+    let whole = lent(&mut old).learned.traffic.quotas[0].0;
+    old.core.end_lending();
+    for number in 1..=2 {
+        old.tell(Input::Arrived(of_tenant(number)));
+        old.end(number, Outcome::Error, b"");
+    }
+    // Two that run are paid for here; two that wait are paid for where they are decided on next.
+    (3..=6).for_each(|number| drop(old.tell(Input::Arrived(of_tenant(number)))));
+    let given = lent(&mut old);
+    assert_eq!((whole, given.requests.len()), (6.0, 2));
+    let Traffic { quotas, arrivals, lately } = given.learned.traffic.clone();
+    assert_eq!(quotas, [(2.0, 4.0)]);
+    assert!(arrivals[0] > 0.0 && lately == (arrivals[0], 2.0, 2.0), "{arrivals:?} {lately:?}");
+    let mut new = with_quota();
+    new.tell(Input::Learned(given.learned));
+    assert_eq!(lent(&mut new).learned.traffic, Traffic { quotas, arrivals, lately });
+    // A successor of other bounds takes no more than it has itself.
+    new.core.end_lending();
+    let more = Traffic { quotas: vec![(1e6, 0.0)], ..Traffic::default() };
+    new.tell(Input::Learned(Learned { traffic: more, ..lent(&mut with_quota()).learned }));
+    assert_eq!(lent(&mut new).learned.traffic.quotas, [(2.0, 0.0)]);
+}
+
 #[test]
 fn a_successor_knows_what_was_learned_and_no_more_runs_than_the_cores_survive() {
     let mut p = Play::new();
@@ -276,6 +306,8 @@
     let before = new.core.lend(0.0, |_| true, &mut Vec::new()).learned;
     new.core.end_lending();
     new.tell(Input::Learned(Learned { usual_s: f64::NAN, ..learned.clone() }));
+    let traffic = Traffic { quotas: vec![(f64::INFINITY, 0.0)], ..Traffic::default() };
+    new.tell(Input::Learned(Learned { traffic, ..learned.clone() }));
     new.tell(Input::Learned(Learned { paces: vec![(-1.0, 0.0, [0.0; 5])], ..learned.clone() }));
     assert_eq!(new.core.lend(0.0, |_| true, &mut Vec::new()).learned, before);
     let mut new = Play::new();
--- a/src/core/tests/mod.rs
+++ b/src/core/tests/mod.rs
@@ -3,7 +3,7 @@
 mod lending;
 
 use super::*;
-use crate::interface::{Class, Dependency, Effect};
+use crate::interface::{Class, Dependency, Effect, Tenant, Traffic};
 
 struct Play {
     core: Core,
@@ -55,8 +55,12 @@
 
 impl Play {
     fn new() -> Play {
+        Play::with(settings())
+    }
+
+    fn with(settings: Settings) -> Play {
         let mut out = Vec::new();
-        Play { core: Core::new(settings(), 0.0, 1000, &mut out), now: 0.0, out }
+        Play { core: Core::new(settings, 0.0, 1000, &mut out), now: 0.0, out }
     }
 
     fn tell(&mut self, input: Input) -> Vec<Command> {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -248,6 +248,29 @@
     pub call_s: Option<f64>,
     /// See above.
     pub calls: (f64, f64),
+    /// Time on calls that may still be spent, where the share is under one call (seconds); it may be overdrawn.
+    pub call_budget_s: Option<f64>,
+    /// What came and how it went.
+    pub traffic: Traffic,
+}
+
+/// What came to a controller of late, and what it may still take: all but the tokens fade.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+pub struct Traffic {
+    /// By tenant: requests left of its even part of the quota, and its arrivals.
+    pub quotas: Vec<(f64, f64)>,
+    /// Arrivals by tier (a second).
+    pub arrivals: Vec<f64>,
+    /// Further tries among them (a second); runs that failed, and all that ended.
+    pub lately: (f64, f64, f64),
+}
+
+impl Traffic {
+    fn numbers(&self) -> impl Iterator<Item = f64> + '_ {
+        let quotas = self.quotas.iter().flat_map(|q| [q.0, q.1]);
+        quotas.chain(self.arrivals.iter().copied()).chain([self.lately.0, self.lately.1, self.lately.2])
+    }
 }
 
 impl Learned {
@@ -255,7 +278,8 @@
     pub fn is_sound(&self) -> bool {
         let paces = self.paces.iter().flat_map(|p| [p.0, p.1].into_iter().chain(p.2));
         let others = [self.usual_s, self.call_room, self.call_s.unwrap_or(1.0), self.calls.0, self.calls.1];
-        paces.chain(others).all(|n| n.is_finite() && n >= 0.0)
+        paces.chain(others).chain(self.traffic.numbers()).all(|n| n.is_finite() && n >= 0.0)
+            && self.call_budget_s.map_or(true, f64::is_finite)
             && self.paces.iter().all(|p| p.1 > 0.0)
             && self.usual_s > 0.0
             && self.call_room > 0.0
