Tell resting HTTP/2 clients to go in a drain by console

Need: issue's point on drains ('draining' also ends idle connections) held for the notice to leave alone: in a console drain health was bad, and HTTP/2 clients, which keep their connection for as long as it rests under idle_s, never heard. Checked: Session::rest is the one place that says goodbye to a resting client; it knew of idleness only. Measured: a story over loopback; without the change it waits for GOAWAY in vain.

--- a/src/net/http2/mod.rs
+++ b/src/net/http2/mod.rs
@@ -278,8 +278,9 @@
     }
 
     /// Closes clients that take nothing of what waits for them, and has all others looked at: streams that are too
-    /// slow end by time alone.
-    pub fn sweep(&mut self, now: f64, inputs: &mut Vec<Input>, log: &mut Log) {
+    /// slow end by time alone. `send_away` says that operators drain this worker: a health check moves no client that
+    /// keeps its connection, so those that rest are told to go, as gently as for idleness.
+    pub fn sweep(&mut self, now: f64, send_away: bool, inputs: &mut Vec<Input>, log: &mut Log) {
         let stuck = |m: &Memory, queued: usize| queued > 0 && now - m.sent_at > SLOW_ANSWER_S;
         for id in self.connections.ids_where(|c| c.stage == Stage::Asked && stuck(&c.memory, c.link.queued()))
         {
@@ -305,7 +306,7 @@
         for id in self.connections.ids_where(|c| c.stage == Stage::Idle) {
             let Some(c) = self.connections.get_mut(id) else { continue };
             let since = c.since();
-            if c.memory.session.as_mut().is_some_and(|s| s.0.rest(now, since, settings)) {
+            if c.memory.session.as_mut().is_some_and(|s| s.0.rest(now, since, settings, send_away)) {
                 over.push(id);
             }
         }
--- a/src/net/http2/session.rs
+++ b/src/net/http2/session.rs
@@ -220,14 +220,14 @@
     }
 
     /// What becomes of a client without a stream since `since`: it is asked for a sign of life, told to go when it has
-    /// been idle for long, and closed (`true`) where it answers neither.
-    pub fn rest(&mut self, now: f64, since: f64, set: &Http2Settings) -> bool {
+    /// been idle for long or operators send clients away, and closed (`true`) where it answers neither.
+    pub fn rest(&mut self, now: f64, since: f64, set: &Http2Settings, send_away: bool) -> bool {
         let waker = self.waker.clone();
         let mut cx = Context::from_waker(&waker);
         if let Some(at) = self.goodbye {
             return now - at > GOODBYE_S;
         }
-        if now - since >= set.idle_s {
+        if send_away || now - since >= set.idle_s {
             self.goodbye = Some(now);
             if let Codec::Open(connection) = &mut self.codec {
                 if !std::mem::replace(&mut self.draining, true) {
--- a/src/net/leaving.rs
+++ b/src/net/leaving.rs
@@ -51,7 +51,7 @@
         let closing = self.leaving.as_ref().is_some_and(|l| l.closed.is_some());
         self.sweep_fronts(now, closing || self.state.passing);
         if let Some(http2) = &mut self.http2 {
-            http2.sweep(now, &mut self.left_over, &mut self.log);
+            http2.sweep(now, self.state.draining, &mut self.left_over, &mut self.log);
             self.wheel.set(now, 0.0, Timer::Again);
         }
         if let Some(s) = &mut self.servers {
--- a/tests/http2/stories.rs
+++ b/tests/http2/stories.rs
@@ -411,6 +411,37 @@
     assert!(peer.closed());
 }
 
+/// A drain by console changed health alone, and clients that kept their connection never heard of it.
+#[test]
+fn a_drain_by_console_tells_resting_clients_to_go_and_answers_what_crosses() {
+    let site = Site::with(|c| c["console"] = json!("127.0.0.1:0"), Some(FRONT));
+    let (mut executor, mut peer) = (site.link(), Peer::connect(&site, &[]));
+    let mut ask = |peer: &mut Peer, stream: u32| {
+        peer.ask(stream, "look", None, "hello");
+        let job = starts(&mut executor, "look");
+        executor.exit(&job, "PASS", "seen");
+        assert_eq!(peer.answer(stream).body, b"seen");
+    };
+    ask(&mut peer, 1);
+    peer.ack_pings = false;
+    assert_eq!(site.call("POST", "/-/drain").0, 200);
+    assert_eq!(peer.goaway(), (0x7fff_ffff, NO_ERROR));
+    ask(&mut peer, 3);
+    let ping = peer.next("a ping", |f| f.kind == PING && f.flags & ACK == 0);
+    peer.frame(PING, ACK, 0, &ping.payload);
+    assert_eq!(peer.goaway(), (3, NO_ERROR));
+    assert!(peer.closed());
+    // Whoever comes all the same is served, and after the drain nobody is sent away.
+    let mut late = Peer::connect(&site, &[]);
+    ask(&mut late, 1);
+    assert_eq!(site.call("POST", "/-/resume").0, 200);
+    let mut back = Peer::connect(&site, &[]);
+    ask(&mut back, 1);
+    std::thread::sleep(Duration::from_millis(600));
+    ask(&mut back, 3);
+    assert!(back.kept.iter().all(|f| f.kind != GOAWAY), "{:?}", back.kept);
+}
+
 #[test]
 fn a_client_that_rests_is_asked_for_a_sign_of_life_and_closed_where_it_gives_none() {
     let site = Site::with(|_| {}, Some(&format!("{FRONT}ping_s = 0.5\n")));
