Let a wary HTTP/2 front take the longest request whole before it counts against a newcomer

Seen on reading the change again: while some client has run short, a new connection began with 4 KiB of allowance, but a request's fields may take header_list_kb (8 KiB) and give nothing back before they are whole: such a client was read slowly although it asked, and kept the front wary.

--- a/src/net/http2/lobby.rs
+++ b/src/net/http2/lobby.rs
@@ -1,6 +1,6 @@
 //! Who of the newcomers gets a session. No I/O: connections are numbers, the time is passed in.
 //!
-//! A session takes some forty times the memory of a connection that only stands there, and anybody can have one for a
+//! A session takes many times the memory of a connection that only stands there, and anybody can have one for a
 //! preface. So connections that have not asked yet share a bounded number of seats. One leaves its seat with its first
 //! request, or when it is closed. Where all are taken, newcomers wait in the order in which they came, and whoever has
 //! sat for [`SILENT_S`] without asking makes room for the first of them. Where nobody waits, nobody is moved.
--- a/src/net/http2/mod.rs
+++ b/src/net/http2/mod.rs
@@ -36,6 +36,8 @@
 /// New streams and bytes taken from one connection in one look; looks of a turn are bounded by its rounds.
 const STREAMS_A_LOOK: usize = 16;
 const BYTES_A_LOOK: usize = 8 * 1024;
+/// Of a connection's first request, what comes beside its fields: preface, settings, frame heads, a body.
+const FIRST_BYTES: f64 = 4096.0;
 /// How long a client may take nothing of what waits for it (seconds).
 const SLOW_ANSWER_S: f64 = 10.0;
 /// How much longer than its settings say an idle connection lasts at most (seconds).
@@ -44,10 +46,10 @@
 const QUEUE_MOST: usize = 64 * 1024;
 
 fn allowance(settings: &Http2Settings) -> Allowance {
-    Allowance {
-        most_bytes: f64::from(settings.overhead_kb) * 1024.0,
-        bytes_per_s: f64::from(settings.overhead_kb_per_s) * 1024.0,
-    }
+    let kb = |n: u32| f64::from(n) * 1024.0;
+    let first_bytes = kb(settings.header_list_kb) + FIRST_BYTES;
+    let most_bytes = kb(settings.overhead_kb).max(first_bytes);
+    Allowance { most_bytes, bytes_per_s: kb(settings.overhead_kb_per_s), first_bytes }
 }
 
 /// A connection's session and account, once its preface is here, and when bytes last went out while some waited.
