--- a/src/net/ajp_front.rs
+++ b/src/net/fronts/ajp_front.rs
@@ -1,14 +1,16 @@
 //! The AJP front: old portal stacks speak AJP/1.3 to it, and it asks the same core as the platform's front.
 
-use super::ajp::{self, Forward, ToContainer, Way, BODY_CHUNK_MOST, PACKET_MOST, REPLY_CHUNK_MOST};
-use super::buffer::Filled;
-use super::connections::{Connection, Connections, Next, Stage, STEPS_MOST};
-use super::fields::{Fault, Fields, BODY_MOST};
-use super::poll::{Place, Poll};
-use super::{Clock, Log, State};
 use crate::config::{AjpSettings, Identity};
 use crate::core::{Answer, Input, Ticket};
 use crate::interface::Effect;
+use crate::net::base::buffer::Filled;
+use crate::net::base::poll::{Place, Poll};
+use crate::net::fronts::connections::{Connection, Connections, Next, Stage, STEPS_MOST};
+use crate::net::fronts::fields::{Fault, Fields, BODY_MOST};
+use crate::net::peers::ajp::{
+    self, Forward, ToContainer, Way, BODY_CHUNK_MOST, PACKET_MOST, REPLY_CHUNK_MOST,
+};
+use crate::net::{Clock, Log, State};
 use std::net::TcpListener;
 use std::rc::Rc;
 
--- a/src/net/connections.rs
+++ b/src/net/fronts/connections.rs
@@ -1,8 +1,8 @@
 //! What all fronts share: accepting, the stages of a connection, and closing what is idle or too slow.
 
-use super::buffer::{Filled, Link};
-use super::poll::{Accepted, Acceptor, Place, Poll};
 use crate::core::{Input, Ticket};
+use crate::net::base::buffer::{Filled, Link};
+use crate::net::base::poll::{Accepted, Acceptor, Place, Poll};
 use std::collections::HashMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -420,8 +420,8 @@
 
 #[cfg(test)]
 mod tests {
-    use super::super::poll::Gathered;
     use super::*;
+    use crate::net::base::poll::Gathered;
     use calloop::EventLoop;
 
     /// Connections with a clock of the test's own, each of which has asked so often and rested since.
--- a/src/net/fields.rs
+++ b/src/net/fronts/fields.rs
@@ -1,10 +1,10 @@
 //! The platform's fields of a request, the same on every front: collected from headers, checked, and made into
 //! what the core takes.
 
-use super::Clock;
 use crate::config::Options;
 use crate::core::{Request, Ticket};
 use crate::interface::{Class, Effect, Settings};
+use crate::net::Clock;
 use std::collections::HashMap;
 use std::rc::Rc;
 
--- a/src/net/http2/mod.rs
+++ b/src/net/fronts/http2/mod.rs
@@ -14,13 +14,13 @@
 #[cfg(test)]
 mod tests;
 
-use super::buffer::Filled;
-use super::connections::{Connections, Next, Stage};
-use super::poll::{Place, Poll};
-use super::{Clock, State};
 use crate::config::Http2Settings;
 use crate::core::{Answer, Input, Ticket};
+use crate::net::base::buffer::Filled;
+use crate::net::base::poll::{Place, Poll};
+use crate::net::fronts::connections::{Connections, Next, Stage};
 use crate::net::Log;
+use crate::net::{Clock, State};
 use backlog::Waiting;
 use conduct::{Allowance, Conduct, Verdict, Wariness};
 use lobby::Lobby;
--- a/src/net/http2/session.rs
+++ b/src/net/fronts/http2/session.rs
@@ -6,8 +6,8 @@
 use super::pipe::Pipe;
 use crate::config::Http2Settings;
 use crate::core::{Answer, Request, Ticket};
-use crate::net::fields::{Fault, Fields, BODY_MOST};
-use crate::net::meaning::{meaning, target, Fail, Meaning, Target};
+use crate::net::fronts::fields::{Fault, Fields, BODY_MOST};
+use crate::net::fronts::meaning::{meaning, target, Fail, Meaning, Target};
 use crate::net::{Clock, State};
 use bytes::Buf;
 use h2::server::{Connection, Handshake, SendResponse};
--- a/src/net/http2/tests.rs
+++ b/src/net/fronts/http2/tests.rs
@@ -5,7 +5,7 @@
 use super::session::Session;
 use crate::config::{Config, Http2Settings, Operator};
 use crate::core::{Answer, Ticket};
-use crate::net::fields::Catalogue;
+use crate::net::fronts::fields::Catalogue;
 use crate::net::{Clock, State};
 use bytes::Bytes;
 use h2::client::{Connection, ResponseFuture, SendRequest};
@@ -59,7 +59,7 @@
 }
 
 fn settings() -> (Http2Settings, Config) {
-    let config = Config::decode(include_str!("../../../examples/config.json")).unwrap();
+    let config = Config::decode(include_str!("../../../../examples/config.json")).unwrap();
     let text = "[http2]\nlisten = \"127.0.0.1:0\"\nstreams = 5\n";
     (Operator::decode(text, &config).unwrap().http2.unwrap(), config)
 }
--- a/src/net/http_front.rs
+++ b/src/net/fronts/http_front.rs
@@ -1,12 +1,12 @@
 //! The platform's front: HTTP/1.1, one request at a time on a connection, and health checks.
 
-use super::buffer::Filled;
-use super::connections::{Connections, Next, Stage, STEPS_MOST};
-use super::fields::{Catalogue, Fault, Fields, BODY_MOST};
-use super::meaning::{meaning, target, Fail, Target};
-use super::poll::{Place, Poll};
-use super::{Clock, State};
 use crate::core::{Answer, Input, Request, Ticket};
+use crate::net::base::buffer::Filled;
+use crate::net::base::poll::{Place, Poll};
+use crate::net::fronts::connections::{Connections, Next, Stage, STEPS_MOST};
+use crate::net::fronts::fields::{Catalogue, Fault, Fields, BODY_MOST};
+use crate::net::fronts::meaning::{meaning, target, Fail, Target};
+use crate::net::{Clock, State};
 use std::fmt::Write;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
--- a/src/net/meaning.rs
+++ b/src/net/fronts/meaning.rs
@@ -1,7 +1,7 @@
 //! What requests and answers mean on every HTTP front, whatever its version: targets, statuses, advice.
 
-use super::fields::Catalogue;
 use crate::core::Answer;
+use crate::net::fronts::fields::Catalogue;
 use std::rc::Rc;
 
 /// What a request line or its pseudo-headers ask for.
--- a/src/net/console.rs
+++ b/src/net/life/console.rs
@@ -3,12 +3,12 @@
 //! Its descriptors are its own, so that no crowd of clients can take them, and its oldest connection without a whole
 //! call is closed for the next one, so that callers who hold theirs can't either.
 
-use super::buffer::Filled;
-use super::connections::{Connections, Next, Stage};
-use super::fields::Catalogue;
-use super::poll::{Place, Poll};
 use crate::config::console_calls;
 use crate::core::figures::Figures;
+use crate::net::base::buffer::Filled;
+use crate::net::base::poll::{Place, Poll};
+use crate::net::fronts::connections::{Connections, Next, Stage};
+use crate::net::fronts::fields::Catalogue;
 use std::fmt::Write;
 use std::io;
 use std::net::SocketAddr;
--- a/src/net/leaving.rs
+++ b/src/net/life/leaving.rs
@@ -1,9 +1,9 @@
 //! Closing what is idle or too slow, and the notice to leave: the door, the grace, the end.
 
-use super::wheel::Timer;
-use super::Worker;
 use crate::core::{Core, Input};
 use crate::handover::Event;
+use crate::net::base::wheel::Timer;
+use crate::net::Worker;
 
 /// After the grace of a drain, how long crossing requests may still come in before the end (seconds), and how
 /// long before the stop the process ends at the latest.
@@ -13,14 +13,14 @@
 const CLOSE_MARGIN_S: f64 = 0.4;
 
 /// The notice to leave, as this loop follows it.
-pub(super) struct Leaving {
-    pub(super) notice: f64,
-    pub(super) stop: f64,
-    pub(super) closed: Option<f64>,
+pub(in crate::net) struct Leaving {
+    pub(in crate::net) notice: f64,
+    pub(in crate::net) stop: f64,
+    pub(in crate::net) closed: Option<f64>,
 }
 
 impl Worker {
-    pub(super) fn leave(&mut self, now: f64, inputs: &mut Vec<Input>) {
+    pub(in crate::net) fn leave(&mut self, now: f64, inputs: &mut Vec<Input>) {
         if self.given_away() {
             return self.door(now, Event::Leave, inputs);
         }
@@ -46,7 +46,7 @@
 
     /// Closes what is idle or too slow. Only after all that is ready has been read: guards requests that lay unread
     /// while this process was stopped.
-    pub(super) fn sweep(&mut self) {
+    pub(in crate::net) fn sweep(&mut self) {
         let now = self.clock.now();
         let closing = self.leaving.as_ref().is_some_and(|l| l.closed.is_some());
         self.sweep_fronts(now, closing || self.state.passing);
@@ -62,7 +62,7 @@
         }
     }
 
-    pub(super) fn sweep_fronts(&mut self, now: f64, leaving: bool) {
+    pub(in crate::net) fn sweep_fronts(&mut self, now: f64, leaving: bool) {
         if let Some(console) = &mut self.console {
             console.connections.sweep(now, self.idle_s, false);
         }
@@ -77,7 +77,7 @@
     }
 
     /// Closes the door when nothing more may be run, and ends when all is answered and written.
-    pub(super) fn follow_leaving(&mut self) {
+    pub(in crate::net) fn follow_leaving(&mut self) {
         let now = self.clock.now();
         let grace_s = self.settings.leave_grace_s;
         let closes =
--- a/src/net/operating.rs
+++ b/src/net/life/operating.rs
@@ -1,11 +1,11 @@
 //! What operators' calls do to a worker.
 
-use super::console::{self, Call};
-use super::Worker;
+use crate::net::life::console::{self, Call};
+use crate::net::Worker;
 
 impl Worker {
     /// Answers what operators ask, before any front is looked at; `true` if accepting was broken off.
-    pub(super) fn serve_console(&mut self, now: f64) -> bool {
+    pub(in crate::net) fn serve_console(&mut self, now: f64) -> bool {
         let Some(console) = &mut self.console else { return false };
         let mut calls = Vec::new();
         let paused = console.gather(now, &mut calls);
@@ -18,7 +18,7 @@
         paused
     }
 
-    pub(super) fn operators_call(&mut self, call: Call) -> console::Reply {
+    pub(in crate::net) fn operators_call(&mut self, call: Call) -> console::Reply {
         let linked = self.servers.is_some() || self.executor.linked();
         match call {
             Call::Ready if self.state.leaving => console::Reply::new(503, "leaving\n"),
@@ -53,7 +53,7 @@
     }
 
     /// Sends clients away, or lets them come again: health and reports change at once, decisions don't.
-    pub(super) fn drain(&mut self, on: bool) {
+    pub(in crate::net) fn drain(&mut self, on: bool) {
         if self.pass_drain(on) {
             return;
         }
--- a/src/net/reloading.rs
+++ b/src/net/life/reloading.rs
@@ -1,12 +1,12 @@
 //! SIGHUP: what a running worker takes up of a changed configuration and operator's file.
 
-use super::Worker;
 use crate::core::Input;
+use crate::net::Worker;
 
 impl Worker {
     /// Takes up the addresses of a changed configuration. Runs, keys and what is held carry on; calls in hand
     /// end where they were placed. Guards against a file that is half written or wrong: the old one stays.
-    pub(super) fn reload(&mut self, now: f64, inputs: &mut Vec<Input>) {
+    pub(in crate::net) fn reload(&mut self, now: f64, inputs: &mut Vec<Input>) {
         self.reload_operator(inputs);
         let next = match self.files.config() {
             Ok(next) => next,
@@ -32,7 +32,7 @@
 
     /// Takes up the operator's pools anew. They are checked against the settings that this worker serves by, which
     /// a reload does not change.
-    pub(super) fn reload_operator(&mut self, inputs: &mut Vec<Input>) {
+    pub(in crate::net) fn reload_operator(&mut self, inputs: &mut Vec<Input>) {
         let next = self.files.operator(&self.config).and_then(|next| {
             let plan = next.pools.as_ref().map(|p| p.plan(&self.config.settings)).transpose()?;
             Ok((next, plan))
--- a/src/net/replacing.rs
+++ b/src/net/life/replacing.rs
@@ -1,15 +1,15 @@
 //! What a worker does when it replaces another process, and when another replaces it: the acts that
 //! `src/handover/` decides on, carried out on the fronts, the core and the links.
 
-use super::connections::{Parcel, Stage};
-use super::handover::{Found, Heard, Links};
-use super::wheel::Timer;
-use super::words::{passed, to_held, to_news, to_request, to_state, zero_ms};
-use super::Worker;
 use crate::core::keys::KeyNews;
 use crate::core::{Input, LentRequest, Ticket};
 use crate::handover::frame::{Frame, Held, KeyEnd, KeyState, Passed, Usage, VERSION};
 use crate::handover::{Act, Door, Doubt, Event, PATIENCE_S};
+use crate::net::base::wheel::Timer;
+use crate::net::fronts::connections::{Parcel, Stage};
+use crate::net::life::handover::{Found, Heard, Links};
+use crate::net::life::words::{passed, to_held, to_news, to_request, to_state, zero_ms};
+use crate::net::Worker;
 use std::net::TcpListener;
 use std::os::fd::OwnedFd;
 use std::rc::Rc;
@@ -25,7 +25,7 @@
 const HTTP2: &str = "http2";
 /// Of the memory limit, what results and keys that were sent may take before they are acted on: twice the room for
 /// results, since the old process may hold what an older one has sent it; and what a key without a result counts for.
-const STASH_PART: f64 = super::RESULT_PART / 2.0;
+const STASH_PART: f64 = crate::net::RESULT_PART / 2.0;
 const KEY_BYTES: usize = 256;
 /// Descriptors that a process holds beside its budget: standard streams, the loop's, links.
 const OVERHEAD: usize = 10;
@@ -93,18 +93,18 @@
     }
 
     /// Whether clients are let in.
-    pub(super) fn door_open(&self) -> bool {
+    pub(in crate::net) fn door_open(&self) -> bool {
         self.replacement.as_ref().map_or(true, |r| r.door.is_open())
     }
 
     /// Whether another process has this one's place.
-    pub(super) fn given_away(&self) -> bool {
+    pub(in crate::net) fn given_away(&self) -> bool {
         self.replacement.as_ref().is_some_and(|r| r.door.given_away())
     }
 
     /// Looks for a process that serves already, right after the start.
     /// An error is one line about an address of the operator's file that can't be used.
-    pub(super) fn look_round(&mut self, now: f64) -> Result<(), String> {
+    pub(in crate::net) fn look_round(&mut self, now: f64) -> Result<(), String> {
         let Some(r) = &mut self.replacement else { return Ok(()) };
         let event = match r.links.seek() {
             Ok(Found::Linked) => Event::Linked,
@@ -125,7 +125,7 @@
     }
 
     /// Tells the door what happened and does what it says.
-    pub(super) fn door(&mut self, now: f64, event: Event, inputs: &mut Vec<Input>) {
+    pub(in crate::net) fn door(&mut self, now: f64, event: Event, inputs: &mut Vec<Input>) {
         let Some(r) = &mut self.replacement else { return };
         let mut acts = Vec::new();
         r.door.handle(now, event, &mut acts);
@@ -138,7 +138,7 @@
     }
 
     /// Takes what the links have said, before any front is looked at.
-    pub(super) fn replace(&mut self, now: f64, inputs: &mut Vec<Input>) {
+    pub(in crate::net) fn replace(&mut self, now: f64, inputs: &mut Vec<Input>) {
         while let Some(heard) = self.replacement.as_mut().and_then(|r| r.links.hear()) {
             match heard {
                 Heard::Old(frame, descriptor) => self.old_said(now, frame, descriptor, inputs),
@@ -514,7 +514,7 @@
     }
 
     /// A key that another process should know of.
-    pub(super) fn tell_key(&mut self, news: &KeyNews) {
+    pub(in crate::net) fn tell_key(&mut self, news: &KeyNews) {
         let zero = zero_ms(&self.clock);
         if let Some(r) = &mut self.replacement {
             r.links.to_new(&Frame::Key(to_state(news, zero)), None);
@@ -522,7 +522,7 @@
     }
 
     /// Tells the new process of a drain that operators asked for here; `false` where there is none.
-    pub(super) fn pass_drain(&mut self, on: bool) -> bool {
+    pub(in crate::net) fn pass_drain(&mut self, on: bool) -> bool {
         match &mut self.replacement {
             Some(r) if r.door.given_away() => {
                 r.links.to_new(&Frame::Drain(on), None);
@@ -546,7 +546,7 @@
     }
 
     /// At the end of a turn: connections that have fallen idle go to the new process, and it hears of what is used.
-    pub(super) fn pass_on(&mut self, now: f64) {
+    pub(in crate::net) fn pass_on(&mut self, now: f64) {
         let Some(r) = &mut self.replacement else { return };
         if r.door.has_parted() && r.links.has_new() {
             let rests = |s: Stage| matches!(s, Stage::Idle | Stage::Reading);
@@ -565,7 +565,7 @@
     }
 
     /// Ends once nothing is owed here, with the door given away and the notice to leave taken.
-    pub(super) fn follow_ending(&mut self, now: f64) {
+    pub(in crate::net) fn follow_ending(&mut self, now: f64) {
         let Some(r) = &self.replacement else { return };
         let Some(at_most) = r.ending else { return };
         let owed = self.core.as_ref().is_some_and(|core| !core.idle());
--- a/src/net/words.rs
+++ b/src/net/life/words.rs
@@ -1,17 +1,17 @@
 //! What the core lends and tells, in the words of the link between two processes, and back.
 
-use super::connections::Parcel;
-use super::Clock;
 use crate::core::keys::{KeyName, KeyNews, Progress};
 use crate::core::{LentRequest, Request, Ticket};
 use crate::handover::frame::{Bytes, Held, Key, KeyEnd, KeyState, Passed};
+use crate::net::fronts::connections::Parcel;
+use crate::net::Clock;
 
 /// The Unix time of the loop's zero (milliseconds): times on the link mean the same in both processes.
-pub(super) fn zero_ms(clock: &Clock) -> f64 {
+pub(in crate::net) fn zero_ms(clock: &Clock) -> f64 {
     clock.unix_ms() - clock.now() * 1000.0
 }
 
-pub(super) fn to_state(news: &KeyNews, zero_ms: f64) -> KeyState {
+pub(in crate::net) fn to_state(news: &KeyNews, zero_ms: f64) -> KeyState {
     let name = &news.name;
     KeyState {
         key: Key { class: name.class, tenant: name.tenant, key: name.key.clone() },
@@ -27,7 +27,7 @@
 }
 
 /// `latest` is the end of the longest window that may begin now: no key links for longer.
-pub(super) fn to_news(state: KeyState, zero_ms: f64, latest: f64) -> KeyNews {
+pub(in crate::net) fn to_news(state: KeyState, zero_ms: f64, latest: f64) -> KeyNews {
     let Key { class, tenant, key } = state.key;
     KeyNews {
         name: KeyName { class, tenant, key },
@@ -42,7 +42,7 @@
     }
 }
 
-pub(super) fn to_held(lent: &LentRequest, zero_ms: f64) -> Held {
+pub(in crate::net) fn to_held(lent: &LentRequest, zero_ms: f64) -> Held {
     let r = &lent.request;
     Held {
         name: r.name.clone(),
@@ -59,7 +59,7 @@
     }
 }
 
-pub(super) fn to_request(held: Held, ticket: Ticket, unix_ms: f64) -> Request {
+pub(in crate::net) fn to_request(held: Held, ticket: Ticket, unix_ms: f64) -> Request {
     Request {
         ticket,
         name: held.name,
@@ -76,7 +76,7 @@
     }
 }
 
-pub(super) fn passed(parcel: &Parcel<bool>, held: Option<Held>) -> Passed {
+pub(in crate::net) fn passed(parcel: &Parcel<bool>, held: Option<Held>) -> Passed {
     Passed {
         unread: Bytes(parcel.unread.as_slice().into()),
         continued: parcel.memory,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,59 +1,40 @@
 //! The port worker on real sockets: one thread, one loop. Each turn gathers what is ready, hands it to the core in
 //! one go, and carries out what comes back.
 
-pub mod ajp;
-pub mod ajp_backend;
-pub mod ajp_front;
-pub mod buffer;
-pub mod connections;
-pub mod console;
-pub mod directory;
-pub mod executor;
-pub mod fields;
-pub mod handover;
-pub mod http2;
-pub mod http_front;
-mod leaving;
-pub mod meaning;
-mod operating;
-pub mod poll;
-pub mod pool;
-pub mod records;
-pub mod registry;
-mod reloading;
-mod replacing;
-pub mod wheel;
-mod words;
+pub mod base;
+pub mod fronts;
+pub mod life;
+pub mod peers;
 
 use crate::config::{Config, Files, Operator};
 use crate::core::figures::Figures;
 use crate::core::{Answer, Command, Core, Input, Ticket};
 use crate::handover::{Doubt, Event};
 use crate::interface::{Outcome, Settings};
-use ajp_backend::AjpBackend;
-use ajp_front::{AjpFront, Turn};
+use base::poll::{Gathered, Place, Poll, ACCEPT_PAUSE_S};
+use base::wheel::{Timer, Wheel};
 use calloop::signals::{Signal, Signals};
 use calloop::timer::{TimeoutAction, Timer as LoopTimer};
 use calloop::{EventLoop, RegistrationToken};
-use console::Console;
-use directory::Directory;
-use executor::{Executor, Welcome};
-use fields::Catalogue;
-use handover::Links;
-use http2::Http2Front;
-use http_front::HttpFront;
-use leaving::Leaving;
-use poll::{Gathered, Place, Poll, ACCEPT_PAUSE_S};
-use records::Records;
-use registry::{Registry, BEAT_S};
-use replacing::Replacement;
+use fronts::ajp_front::{AjpFront, Turn};
+use fronts::fields::Catalogue;
+use fronts::http2::Http2Front;
+use fronts::http_front::HttpFront;
+use life::console::Console;
+use life::handover::Links;
+use life::leaving::Leaving;
+use life::replacing::Replacement;
+use peers::ajp_backend::AjpBackend;
+use peers::directory::Directory;
+use peers::executor::{Executor, Welcome};
+use peers::records::Records;
+use peers::registry::{Registry, BEAT_S};
 use std::collections::hash_map::RandomState;
 use std::collections::HashMap;
 use std::hash::BuildHasher;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use wheel::{Timer, Wheel};
 
 /// How often idle and slow connections are looked for (seconds).
 const SWEEP_S: f64 = 0.25;
@@ -254,7 +235,7 @@
         let bind =
             |address| Console::bind(poll, address, sockets).map_err(|e| format!("console {address}: {e}"));
         let console = config.console.map(bind).transpose()?;
-        let socket = files.socket.as_deref().map(handover::inherited).transpose()?;
+        let socket = files.socket.as_deref().map(life::handover::inherited).transpose()?;
         // Another process may have the operator's addresses, and hand them over.
         let meets = socket.is_some() && files.folder.is_some();
         let mut http = match &socket {
--- a/src/net/ajp_backend.rs
+++ b/src/net/peers/ajp_backend.rs
@@ -4,16 +4,16 @@
 //! run can go elsewhere or be given back as never run; from the first byte on any break means that it may have run,
 //! and it is never repeated.
 
-use super::ajp::{self, Forward, ToWebServer, Way, PACKET_MOST};
-use super::buffer::{Filled, Link};
-use super::fields::Catalogue;
-use super::poll::{Place, Poll};
-use super::pool::{full, take_idle, Kept, IDLE_MOST};
-use super::wheel::{Timer, Wheel};
-use super::Log;
 use crate::config::ServerSettings;
 use crate::core::Input;
 use crate::interface::Outcome;
+use crate::net::base::buffer::{Filled, Link};
+use crate::net::base::poll::{Place, Poll};
+use crate::net::base::pool::{full, take_idle, Kept, IDLE_MOST};
+use crate::net::base::wheel::{Timer, Wheel};
+use crate::net::fronts::fields::Catalogue;
+use crate::net::peers::ajp::{self, Forward, ToWebServer, Way, PACKET_MOST};
+use crate::net::Log;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/net/directory.rs
+++ b/src/net/peers/directory.rs
@@ -2,13 +2,13 @@
 //!
 //! One link, bound once; searches share it. What it said is kept for a while, for a bounded number of identities.
 
-use super::ajp_front::{Found, Lookup};
-use super::buffer::{Filled, Link};
-use super::poll::{Place, Poll};
-use super::wheel::{Timer, Wheel};
-use super::Log;
 use crate::config::DirectorySettings;
 use crate::core::Ticket;
+use crate::net::base::buffer::{Filled, Link};
+use crate::net::base::poll::{Place, Poll};
+use crate::net::base::wheel::{Timer, Wheel};
+use crate::net::fronts::ajp_front::{Found, Lookup};
+use crate::net::Log;
 use bytes::BytesMut;
 use ldap3_proto::proto::*;
 use ldap3_proto::LdapCodec;
--- a/src/net/executor.rs
+++ b/src/net/peers/executor.rs
@@ -4,13 +4,13 @@
 //! that serves as a fence: once it is answered, all notices of before have been read, and the core is told which
 //! commands are in doubt. It alone decides what is given again.
 
-use super::buffer::{Filled, Link};
-use super::fields::Catalogue;
-use super::poll::{Place, Poll};
-use super::Log;
 use crate::config::read_gauges;
 use crate::core::Input;
 use crate::interface::{Gauges, Outcome};
+use crate::net::base::buffer::{Filled, Link};
+use crate::net::base::poll::{Place, Poll};
+use crate::net::fronts::fields::Catalogue;
+use crate::net::Log;
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use serde::{Deserialize, Serialize};
--- a/src/net/records.rs
+++ b/src/net/peers/records.rs
@@ -1,13 +1,13 @@
 //! Calls to the records service: HTTP/1.1, one at a time on a connection, kept connections used again. A call is
 //! given up by closing its connection.
 
-use super::buffer::{Filled, Link};
-use super::poll::{Place, Poll};
-use super::pool::{full, take_idle, Kept};
-use super::wheel::{Timer, Wheel};
-use super::Log;
 use crate::core::Input;
 use crate::interface::Outcome;
+use crate::net::base::buffer::{Filled, Link};
+use crate::net::base::poll::{Place, Poll};
+use crate::net::base::pool::{full, take_idle, Kept};
+use crate::net::base::wheel::{Timer, Wheel};
+use crate::net::Log;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -294,8 +294,8 @@
 
 #[cfg(test)]
 mod tests {
-    use super::super::poll::Gathered;
     use super::*;
+    use crate::net::base::poll::Gathered;
     use calloop::EventLoop;
     use std::io::{Read, Write};
     use std::time::Duration;
--- a/tests/ajp.rs
+++ b/tests/ajp.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use honeypost::net::ajp::{self, Forward, ToContainer, ToWebServer, Way};
+use honeypost::net::peers::ajp::{self, Forward, ToContainer, ToWebServer, Way};
 use serde_json::json;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/tests/http2/stories.rs
+++ b/tests/http2/stories.rs
@@ -2,7 +2,7 @@
 
 use crate::common::{Ask, Client, Executor, Site, PATIENCE};
 use crate::peer::*;
-use honeypost::net::ajp::{self, Forward, ToWebServer, Way};
+use honeypost::net::peers::ajp::{self, Forward, ToWebServer, Way};
 use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::TcpStream;
