Add leases: replicated facts, the leader's desk, worker sessions, and fleets in virtual time

Need: work that is done once for the whole fleet needs one holder a task, whatever dies, is cut or stops. Change: coordinator/ (facts, replica round the raft crate, desk, all without I/O), src/fleet/ (frames, holder, session, scheduled calls), lab/src/fleet/virtual_fleet.rs (a fleet in virtual time with a judge that sees true time). Without the drift bound, a new leader's whole TTL, the quorum's word for renewals, or fencing, the same judge finds each broken.

--- /dev/null
+++ b/coordinator/src/desk.rs
@@ -0,0 +1,518 @@
+//! What a leader does beside the log: it hears the workers' signs of life, renews their leases, grants free ones, and
+//! frees those whose holder is silent. Soft state, without I/O: it begins anew with each leader.
+//!
+//! Owed to callers: a renewal is granted only after a quorum has confirmed, later than the renewal came, that this leader
+//! leads; a lease is freed no sooner than its whole time after the last renewal that may have been granted, by this
+//! leader or by one before. Together with a holder that counts from when it *sent* the renewal, that is why two holders
+//! never act at once.
+
+use crate::facts::{Command, Entry as LogEntry, Facts, Outcome, Refusal, Why};
+use honeypost::fleet::frame::{Counts, Ending, Held, Renewed, Totals, Word, TASKS_MOST};
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// How long a silent session is kept (milliseconds): longer than a worker needs to find a new leader.
+pub const SESSION_TTL_MS: u64 = 10_000;
+/// How often a worker gives a sign of life (milliseconds).
+pub const KEEP_EVERY_MS: u64 = 1000;
+/// The task whose holder adds up the fleet's figures.
+pub const TOTALS: &str = "totals";
+/// Figures by name that one worker may send.
+const FIGURES_MOST: usize = 64;
+/// A proposal that nothing came of is made again after so long (seconds).
+const AGAIN_S: f64 = 2.0;
+/// The longest pause of a holder that failed, in multiples of the task's pause.
+const PAUSES_MOST: u32 = 64;
+
+/// Which link a word goes to.
+pub type LinkId = u64;
+
+/// The guards that the proof takes away one at a time; all stand in service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Guards {
+    /// A new leader gives every lease its whole time again.
+    pub whole_ttl: bool,
+    /// Renewals wait until a quorum has confirmed the leader.
+    pub confirm: bool,
+}
+
+impl Default for Guards {
+    fn default() -> Guards {
+        Guards { whole_ttl: true, confirm: true }
+    }
+}
+
+/// What the leader is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    Send(LinkId, Word),
+    Propose(Command),
+    Confirm(u64),
+}
+
+/// A session as the leader sees it.
+#[derive(Clone, Debug, Default)]
+struct Live {
+    link: Option<LinkId>,
+    until: f64,
+    /// Tasks that it would take, with its place in the queue.
+    wants: BTreeMap<String, u64>,
+    figures: Counts,
+    figures_at: f64,
+    /// When proposed to be closed.
+    closing: Option<f64>,
+}
+
+/// A renewal that waits for the quorum's word.
+#[derive(Clone, Debug)]
+struct Renewal {
+    link: LinkId,
+    session: u64,
+    seq: u64,
+    held: Vec<Held>,
+}
+
+#[derive(Default)]
+pub struct Desk {
+    guards: Guards,
+    leads: bool,
+    sessions: BTreeMap<u64, Live>,
+    links: BTreeMap<LinkId, u64>,
+    /// Links whose session is being opened, by name and process.
+    opening: BTreeMap<LinkId, (String, u64)>,
+    /// By token: when the lease ends at the latest as its holder may count.
+    until: BTreeMap<u64, f64>,
+    /// Tokens that are being freed or passed on, and since when: they are not renewed any more.
+    freeing: BTreeMap<u64, f64>,
+    granting: BTreeMap<String, f64>,
+    /// By token: who gives it back because it failed at the task.
+    failing: BTreeMap<u64, String>,
+    /// Holders that failed at a task: how often in a row, and until when they wait.
+    failed: BTreeMap<(String, String), (u32, f64)>,
+    renewals: VecDeque<(u64, Vec<Renewal>)>,
+    fresh: Vec<Renewal>,
+    next_confirm: u64,
+    asked_at: f64,
+    place: u64,
+    totals: Option<(Totals, f64)>,
+    acts: Vec<Act>,
+}
+
+impl Desk {
+    pub fn new(guards: Guards) -> Desk {
+        Desk { guards, next_confirm: 1, ..Desk::default() }
+    }
+
+    pub fn take_acts(&mut self) -> Vec<Act> {
+        std::mem::take(&mut self.acts)
+    }
+
+    /// This member leads from now on. What was before may have granted anything up to now.
+    pub fn lead(&mut self, now: f64, facts: &Facts) {
+        let (guards, next_confirm) = (self.guards, self.next_confirm);
+        *self = Desk { guards, next_confirm, leads: true, ..Desk::default() };
+        let seconds = |ms: u64| if guards.whole_ttl { ms as f64 / 1000.0 } else { 0.0 };
+        for lease in facts.leases.values() {
+            self.until.insert(lease.token, now + seconds(lease.whole_ms));
+        }
+        for id in facts.sessions.keys() {
+            self.sessions
+                .insert(*id, Live { until: now + SESSION_TTL_MS as f64 / 1000.0, ..Live::default() });
+        }
+    }
+
+    /// It leads no more: nothing that waits will be granted here. Links that it served.
+    pub fn follow(&mut self) -> Vec<LinkId> {
+        let links = self.links.keys().chain(self.opening.keys()).copied().collect();
+        let (guards, next_confirm) = (self.guards, self.next_confirm);
+        *self = Desk { guards, next_confirm, ..Desk::default() };
+        links
+    }
+
+    /// A worker says hello.
+    pub fn hello(&mut self, now: f64, link: LinkId, hello: Hello, facts: &Facts) {
+        let Hello { name, zone, process, version } = hello;
+        self.opening.insert(link, (name.clone(), process));
+        // One that comes back costs the log nothing, or all that come back after a change of leader would at once.
+        let known =
+            facts.sessions.iter().find(|(_, s)| s.process == process && s.name == name).map(|(id, _)| *id);
+        if let Some(id) = known.filter(|id| self.sessions.get(id).map_or(true, |l| l.closing.is_none())) {
+            return self.opened(now, &name, process, &Ok(Outcome::Opened(id)));
+        }
+        self.acts.push(Act::Propose(Command::Open { name, zone, process, version }));
+    }
+
+    pub fn closed(&mut self, link: LinkId) {
+        self.opening.remove(&link);
+        if let Some(live) = self.links.remove(&link).and_then(|s| self.sessions.get_mut(&s)) {
+            if live.link == Some(link) {
+                // Its wants stay with the link: nobody can be told of a grant that way.
+                (live.link, live.wants) = (None, BTreeMap::new());
+            }
+        }
+    }
+
+    /// The session that speaks on this link.
+    pub fn session(&self, link: LinkId) -> Option<u64> {
+        self.links.get(&link).copied()
+    }
+
+    /// A sign of life.
+    pub fn keep(&mut self, now: f64, link: LinkId, keep: Keep, facts: &Facts) {
+        let Some(session) = self.session(link).filter(|s| facts.sessions.contains_key(s)) else {
+            return self.acts.push(Act::Send(link, Word::Gone));
+        };
+        let Some(live) = self.sessions.get_mut(&session) else { return };
+        live.until = now + SESSION_TTL_MS as f64 / 1000.0;
+        let wants: BTreeSet<String> = keep.wants.into_iter().take(TASKS_MOST).collect();
+        live.wants.retain(|task, _| wants.contains(task));
+        for task in wants {
+            // Whoever holds it is not in the queue; it goes to its end when it has had its turn.
+            let holds = facts.leases.get(&task).is_some_and(|l| l.session == session);
+            if holds {
+                live.wants.remove(&task);
+            } else if let Entry::Vacant(empty) = live.wants.entry(task) {
+                self.place += 1;
+                empty.insert(self.place);
+            }
+        }
+        if let Some(figures) = keep.figures {
+            live.figures = figures.into_iter().take(FIGURES_MOST).collect();
+            live.figures_at = now;
+        }
+        if let Some(totals) = keep.totals {
+            if facts.leases.get(TOTALS).is_some_and(|l| l.session == session) {
+                self.totals = Some((totals, now));
+            }
+        }
+        let held: Vec<Held> = keep.held.into_iter().take(TASKS_MOST).collect();
+        for one in &held {
+            if let Some(lease) = facts.lease(one).filter(|l| l.session == session) {
+                if !self.freeing.contains_key(&one.token) {
+                    let until = self.until.entry(one.token).or_insert(now);
+                    // Counted from when it came, whether or not it is granted in the end.
+                    *until = until.max(now + lease.ttl_ms as f64 / 1000.0);
+                }
+            }
+        }
+        self.fresh.push(Renewal { link, session, seq: keep.seq, held });
+    }
+
+    /// Asks for the quorum's word for all renewals that have come since it was asked last.
+    fn ask(&mut self, now: f64, facts: &Facts) {
+        if self.fresh.is_empty() {
+            return;
+        }
+        if !self.guards.confirm {
+            for renewal in std::mem::take(&mut self.fresh) {
+                self.renew(now, renewal, facts);
+            }
+            return;
+        }
+        // One question at a time, unless the answer to the last one seems lost.
+        if self.renewals.is_empty() || now - self.asked_at > AGAIN_S {
+            self.renewals.push_back((self.next_confirm, std::mem::take(&mut self.fresh)));
+            self.acts.push(Act::Confirm(self.next_confirm));
+            (self.next_confirm, self.asked_at) = (self.next_confirm + 1, now);
+        }
+    }
+
+    /// A quorum has confirmed that this member led after it asked this.
+    pub fn confirmed(&mut self, now: f64, number: u64, facts: &Facts) {
+        while self.renewals.front().is_some_and(|(asked, _)| *asked <= number) {
+            let (_, renewals) = self.renewals.pop_front().unwrap_or_default();
+            for renewal in renewals {
+                self.renew(now, renewal, facts);
+            }
+        }
+        self.ask(now, facts);
+    }
+
+    fn renew(&mut self, now: f64, renewal: Renewal, facts: &Facts) {
+        let valid = |held: &Held| {
+            let lease = facts.lease(held).filter(|l| l.session == renewal.session)?;
+            (!self.freeing.contains_key(&held.token)).then_some(lease.ttl_ms)
+        };
+        let leases: Vec<Renewed> = renewal
+            .held
+            .iter()
+            .filter_map(|held| Some(Renewed { held: held.clone(), ttl_ms: valid(held)? }))
+            .collect();
+        let adds_up = leases.iter().any(|r| r.held.task == TOTALS);
+        let figures = match adds_up {
+            true => self
+                .sessions
+                .values()
+                .filter(|l| !l.figures.is_empty())
+                .map(|l| (((now - l.figures_at) * 1000.0) as u64, l.figures.clone()))
+                .collect(),
+            false => Vec::new(),
+        };
+        let totals = self
+            .totals
+            .clone()
+            .map(|(totals, at)| Totals { age_ms: totals.age_ms + ((now - at) * 1000.0) as u64, ..totals });
+        self.acts.push(Act::Send(renewal.link, Word::Kept { seq: renewal.seq, leases, totals, figures }));
+    }
+
+    /// A holder has stopped acting under this lease.
+    pub fn give_back(
+        &mut self,
+        now: f64,
+        link: LinkId,
+        held: Held,
+        failed: bool,
+        pass_on: bool,
+        facts: &Facts,
+    ) {
+        let Some(session) = self.session(link) else { return };
+        if !facts.lease(&held).is_some_and(|l| l.session == session) {
+            return;
+        }
+        self.freeing.insert(held.token, now);
+        let name = facts.sessions.get(&session).map_or("", |s| s.name.as_str());
+        if failed {
+            self.failing.insert(held.token, name.to_owned());
+        }
+        let heir = facts.newest(name).filter(|heir| pass_on && *heir != session);
+        self.acts.push(Act::Propose(match heir {
+            Some(session) => Command::Transfer { held, session },
+            None => Command::Free { held, why: if failed { Why::Failed } else { Why::GivenBack } },
+        }));
+    }
+
+    /// A worker leaves, and acts no more.
+    pub fn bye(&mut self, now: f64, link: LinkId, facts: &Facts) {
+        let Some(session) = self.session(link) else { return };
+        for (task, lease) in facts.leases.iter().filter(|(_, l)| l.session == session) {
+            self.freeing.insert(lease.token, now);
+            let held = Held { task: task.clone(), token: lease.token };
+            self.acts.push(Act::Propose(Command::Free { held, why: Why::GivenBack }));
+        }
+        self.acts.push(Act::Propose(Command::Close { session }));
+        if let Some(live) = self.sessions.get_mut(&session) {
+            live.closing = Some(now);
+        }
+    }
+
+    pub fn begin(&mut self, link: LinkId, asked: Asked, facts: &Facts) {
+        let Asked { held, every_ms, safe, attempt } = asked;
+        let own = self.session(link).is_some_and(|s| facts.lease(&held).is_some_and(|l| l.session == s));
+        if own && !self.freeing.contains_key(&held.token) {
+            self.acts.push(Act::Propose(Command::Begin { held, every_ms: every_ms.max(1), safe, attempt }));
+        } else {
+            let why = Refusal::NotHeld.to_string();
+            self.acts.push(Act::Send(link, Word::NotBegun { held, in_ms: 0, why }));
+        }
+    }
+
+    pub fn end(&mut self, held: Held, period: u64, ending: Ending) {
+        self.acts.push(Act::Propose(Command::End { held, period, ending }));
+    }
+
+    /// A command has been applied; whoever waits for it is told.
+    pub fn applied(&mut self, now: f64, entry: &LogEntry, result: &Result<Outcome, Refusal>, facts: &Facts) {
+        if !self.leads {
+            return;
+        }
+        match (&entry.command, result) {
+            (Command::Open { name, process, .. }, result) => self.opened(now, name, *process, result),
+            (Command::Close { session }, Ok(_)) => {
+                if let Some(link) = self.sessions.remove(session).and_then(|live| live.link) {
+                    self.links.remove(&link);
+                }
+            }
+            (Command::Grant { task, .. }, result) => {
+                self.granting.remove(task);
+                self.granted(now, result, facts);
+            }
+            (Command::Transfer { held, .. }, result) => {
+                self.freeing.remove(&held.token);
+                self.until.remove(&held.token);
+                self.granted(now, result, facts);
+            }
+            (Command::Free { held, why }, Ok(_)) => {
+                self.freeing.remove(&held.token);
+                self.until.remove(&held.token);
+                self.note_failure(now, held, *why, facts);
+            }
+            (Command::Begin { held, attempt, .. }, result) => {
+                let Some(link) = self.link_of(held, facts) else { return };
+                let held = held.clone();
+                self.acts.push(Act::Send(
+                    link,
+                    match result {
+                        Ok(Outcome::Begun(period)) => {
+                            Word::Begun { held, period: *period, attempt: *attempt }
+                        }
+                        Err(Refusal::NotDue(in_ms)) => {
+                            Word::NotBegun { held, in_ms: *in_ms, why: String::new() }
+                        }
+                        Err(why) => Word::NotBegun { held, in_ms: KEEP_EVERY_MS, why: why.to_string() },
+                        Ok(_) => return,
+                    },
+                ));
+            }
+            (Command::End { held, ending: Ending::Done, .. }, Ok(_)) => {
+                let name =
+                    facts.lease(held).and_then(|l| facts.sessions.get(&l.session)).map(|s| s.name.clone());
+                self.failed.remove(&(held.task.clone(), name.unwrap_or_default()));
+            }
+            _ => {}
+        }
+    }
+
+    fn opened(&mut self, now: f64, name: &str, process: u64, result: &Result<Outcome, Refusal>) {
+        let waiting = self.opening.iter().filter(|(_, (n, p))| n == name && *p == process);
+        let links: Vec<LinkId> = waiting.map(|(link, _)| *link).collect();
+        for link in links {
+            self.opening.remove(&link);
+            let word = match result {
+                Ok(Outcome::Opened(session)) => {
+                    let live = self.sessions.entry(*session).or_default();
+                    // A worker that came over a new link is not heard on the old one any more.
+                    if let Some(old) = live.link.replace(link).filter(|old| *old != link) {
+                        self.links.remove(&old);
+                    }
+                    live.until = now + SESSION_TTL_MS as f64 / 1000.0;
+                    self.links.insert(link, *session);
+                    Word::Welcome {
+                        session: *session,
+                        session_ttl_ms: SESSION_TTL_MS,
+                        keep_every_ms: KEEP_EVERY_MS,
+                        version: crate::facts::LATEST,
+                    }
+                }
+                Ok(_) => continue,
+                Err(why) => Word::Refused { why: why.to_string() },
+            };
+            self.acts.push(Act::Send(link, word));
+        }
+    }
+
+    fn granted(&mut self, now: f64, result: &Result<Outcome, Refusal>, facts: &Facts) {
+        let Ok(Outcome::Granted(held)) = result else { return };
+        let ttl_ms = facts.lease(held).map_or(0, |l| l.ttl_ms);
+        self.until.insert(held.token, now + ttl_ms as f64 / 1000.0);
+        if let Some(link) = self.link_of(held, facts) {
+            self.acts.push(Act::Send(link, Word::Granted { held: held.clone() }));
+        }
+    }
+
+    fn link_of(&self, held: &Held, facts: &Facts) -> Option<LinkId> {
+        self.sessions.get(&facts.lease(held)?.session)?.link
+    }
+
+    fn note_failure(&mut self, now: f64, held: &Held, why: Why, facts: &Facts) {
+        let Some(name) = self.failing.remove(&held.token).filter(|_| why == Why::Failed) else { return };
+        let pause_ms = facts.tasks.get(&held.task).map_or(0, |t| t.pause_ms);
+        let entry = self.failed.entry((held.task.clone(), name)).or_insert((0, now));
+        entry.0 = (entry.0 + 1).min(PAUSES_MOST.ilog2() + 1);
+        entry.1 = now + pause_ms as f64 / 1000.0 * f64::from(1u32 << (entry.0 - 1));
+    }
+
+    /// Time passes.
+    pub fn tick(&mut self, now: f64, facts: &Facts) {
+        if !self.leads {
+            return;
+        }
+        self.ask(now, facts);
+        self.free_silent(now, facts);
+        self.grant_free(now, facts);
+    }
+
+    fn free_silent(&mut self, now: f64, facts: &Facts) {
+        for (task, lease) in &facts.leases {
+            // A lease that is not known here came about under this leader's eyes; it has its whole time.
+            let until = *self.until.entry(lease.token).or_insert(now + lease.whole_ms as f64 / 1000.0);
+            let tried = self.freeing.get(&lease.token).copied();
+            if now >= until && tried.map_or(true, |at| now - at > AGAIN_S) {
+                self.freeing.insert(lease.token, now);
+                let held = Held { task: task.clone(), token: lease.token };
+                self.acts.push(Act::Propose(Command::Free { held, why: Why::Lapsed }));
+            }
+        }
+        for id in facts.sessions.keys() {
+            let fresh = Live { until: now + SESSION_TTL_MS as f64 / 1000.0, ..Live::default() };
+            let live = self.sessions.entry(*id).or_insert(fresh);
+            let holds = facts.leases.values().any(|l| l.session == *id);
+            if now >= live.until && !holds && live.closing.map_or(true, |at| now - at > AGAIN_S) {
+                live.closing = Some(now);
+                self.acts.push(Act::Propose(Command::Close { session: *id }));
+            }
+        }
+        self.sessions.retain(|id, _| facts.sessions.contains_key(id));
+        self.failed.retain(|_, (_, until)| now < *until + 3600.0);
+    }
+
+    /// One of those that wait is granted each free task: preferred zones first, then whoever has waited longest.
+    fn grant_free(&mut self, now: f64, facts: &Facts) {
+        for (name, task) in &facts.tasks {
+            let tried = self.granting.get(name).is_some_and(|at| now - at < AGAIN_S);
+            if facts.leases.contains_key(name) || tried {
+                continue;
+            }
+            let next = self.sessions.iter().filter_map(|(id, live)| {
+                let place = *live.wants.get(name)?;
+                let session = facts.sessions.get(id)?;
+                // Of two processes of one name the older goes first; it passes its leases on when it leaves.
+                let beside = facts.sessions.iter().any(|(other, s)| other < id && s.name == session.name);
+                let paused = self.failed.get(&(name.clone(), session.name.clone()));
+                let ready = live.link.is_some() && live.closing.is_none() && now < live.until;
+                if beside || !ready || paused.is_some_and(|(_, until)| now < *until) {
+                    return None;
+                }
+                let zone = task.zones.iter().position(|z| *z == session.zone).unwrap_or(task.zones.len());
+                Some((zone, place, *id))
+            });
+            if let Some((_, _, session)) = next.min() {
+                self.granting.insert(name.clone(), now);
+                self.acts.push(Act::Propose(Command::Grant { task: name.clone(), session }));
+            }
+        }
+    }
+
+    /// The leases and who waits, for operators.
+    pub fn waiting(&self, task: &str) -> usize {
+        self.sessions.values().filter(|l| l.wants.contains_key(task)).count()
+    }
+
+    /// How long the session has been silent (seconds), and whether it is linked.
+    pub fn silence(&self, now: f64, session: u64) -> Option<(f64, bool)> {
+        let live = self.sessions.get(&session)?;
+        Some(((now - live.until + SESSION_TTL_MS as f64 / 1000.0).max(0.0), live.link.is_some()))
+    }
+
+    /// How long a lease lasts at most (seconds), if nothing renews it.
+    pub fn left(&self, now: f64, token: u64) -> f64 {
+        self.until.get(&token).map_or(0.0, |until| (until - now).max(0.0))
+    }
+}
+
+/// Who says hello.
+#[derive(Clone, Debug)]
+pub struct Hello {
+    pub name: String,
+    pub zone: String,
+    pub process: u64,
+    pub version: u32,
+}
+
+/// A question whether a period's call may be sent.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub held: Held,
+    pub every_ms: u64,
+    pub safe: bool,
+    pub attempt: u64,
+}
+
+/// A sign of life, as it was said.
+#[derive(Clone, Debug, Default)]
+pub struct Keep {
+    pub seq: u64,
+    pub wants: Vec<String>,
+    pub held: Vec<Held>,
+    pub figures: Option<Counts>,
+    pub totals: Option<Totals>,
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod console;
 pub mod executor;
 pub mod experiment;
-
+pub mod fleet;
 pub mod floods;
 pub mod http2;
 pub mod limits;
--- /dev/null
+++ b/lab/tests/fleet_virtual.rs
@@ -0,0 +1,39 @@
+//! Fleets in virtual time: what must always hold, and that the judge finds each guard missing when it is taken away.
+
+use honeypost_lab::fleet::virtual_fleet::{play, Shape, Weakness};
+
+/// The first seed among these that is found broken, and how.
+fn broken(shape: &Shape, seeds: std::ops::Range<u64>) -> Option<(u64, String)> {
+    seeds.into_iter().find_map(|seed| Some((seed, play(shape, seed).violations.first()?.clone())))
+}
+
+#[test]
+fn two_holders_never_act_at_once_whatever_fails() {
+    let shape = Shape::default();
+    let (mut accepted, mut grants) = (0, 0);
+    for seed in 0..40 {
+        let verdict = play(&shape, seed);
+        assert_eq!(verdict.violations, Vec::<String>::new(), "seed {seed}: {:#?}", verdict.faults);
+        accepted += verdict.accepted;
+        grants += verdict.grants;
+    }
+    // A fleet in which nothing happens proves nothing.
+    assert!(accepted > 2000 && grants > 200, "{accepted} acts under {grants} grants");
+}
+
+#[test]
+fn each_guard_that_is_taken_away_is_missed() {
+    for weak in [Weakness::NoDriftBound, Weakness::NoWholeTtl, Weakness::NoConfirm, Weakness::NoFencing] {
+        let shape = Shape { weak, ..Shape::default() };
+        let found = broken(&shape, 0..400);
+        assert!(found.is_some(), "{weak:?}: nothing found in 400 seeds");
+    }
+}
+
+#[test]
+fn a_seed_is_a_run() {
+    let shape = Shape { faults_s: 20.0, quiet_s: 15.0, ..Shape::default() };
+    let (one, two) = (play(&shape, 7), play(&shape, 7));
+    assert_eq!((one.digest, one.faults, one.accepted), (two.digest, two.faults, two.accepted));
+    assert_ne!(one.digest, play(&shape, 8).digest);
+}
--- /dev/null
+++ b/src/fleet/tasks.rs
@@ -0,0 +1,240 @@
+//! Scheduled calls: when the holder of a task asks for its next period, sends the call, and what it makes of the end.
+//!
+//! Owed to callers: a call is ordered only under a lease that lasts longer than the call may take, and only after its
+//! period's beginning is in the log; one that isn't safe is ordered at most once for each beginning.
+
+use super::frame::{Ending, Held, Say};
+use super::holder::Holder;
+use std::net::SocketAddr;
+
+/// How long an answer to a question is waited for before it is asked again (seconds).
+const ASK_AGAIN_S: f64 = 1.5;
+/// Calls that may fail in a row before the holder gives its turn away.
+const FAILURES_MOST: u32 = 3;
+/// Until a call that may be made again is tried again (seconds).
+const RETRY_S: f64 = 0.5;
+
+/// A task that workers carry out for the fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Schedule {
+    pub name: String,
+    pub period_s: f64,
+    pub address: SocketAddr,
+    pub path: String,
+    pub deadline_s: f64,
+    /// Whether the call may be made twice in a period.
+    pub safe: bool,
+}
+
+/// A call to be made now.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order {
+    pub task: usize,
+    pub held: Held,
+    pub period: u64,
+}
+
+/// What the word that a period has begun leads to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answered {
+    Call(Order),
+    /// There is no time left for the call: the log is told that it surely had no effect.
+    Tell(Say),
+    /// It was answered before, or belongs to an earlier question.
+    Overtaken,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Stage {
+    /// Nothing is asked for before this time.
+    Resting(f64),
+    Asked(f64),
+    Calling(Order),
+}
+
+/// One task, as this worker carries it out while it holds the lease.
+pub struct Scheduled {
+    pub schedule: Schedule,
+    number: usize,
+    stage: Stage,
+    attempt: u64,
+    failures: u32,
+    /// An end that the coordinators may not have heard of.
+    untold: Option<Say>,
+    pub calls: u64,
+    pub unknown: u64,
+}
+
+impl Scheduled {
+    pub fn new(number: usize, schedule: Schedule) -> Scheduled {
+        Scheduled {
+            schedule,
+            number,
+            stage: Stage::Resting(0.0),
+            attempt: 0,
+            failures: 0,
+            untold: None,
+            calls: 0,
+            unknown: 0,
+        }
+    }
+
+    pub fn calling(&self) -> bool {
+        matches!(self.stage, Stage::Calling(_))
+    }
+
+    /// Whether the holder should give its turn away.
+    pub fn gives_up(&mut self) -> bool {
+        let over = self.failures >= FAILURES_MOST && !self.calling();
+        if over {
+            self.failures = 0;
+        }
+        over
+    }
+
+    fn token(&self, now: f64, holder: &Holder) -> Option<u64> {
+        holder.may_act(now, &self.schedule.name, self.schedule.deadline_s)
+    }
+
+    /// A question that is due.
+    pub fn tick(&mut self, now: f64, holder: &Holder) -> Option<Say> {
+        let due = match self.stage {
+            Stage::Resting(until) => now >= until,
+            Stage::Asked(since) => now - since >= ASK_AGAIN_S,
+            Stage::Calling(_) => false,
+        };
+        let token = self.token(now, holder).filter(|_| due)?;
+        if matches!(self.stage, Stage::Resting(_)) {
+            self.attempt += 1;
+        }
+        self.stage = Stage::Asked(now);
+        Some(Say::Begin {
+            held: Held { task: self.schedule.name.clone(), token },
+            every_ms: (self.schedule.period_s * 1000.0) as u64,
+            safe: self.schedule.safe,
+            attempt: self.attempt,
+        })
+    }
+
+    /// When it should be looked at again.
+    pub fn next(&self) -> f64 {
+        match self.stage {
+            Stage::Resting(until) => until,
+            Stage::Asked(since) => since + ASK_AGAIN_S,
+            Stage::Calling(_) => f64::INFINITY,
+        }
+    }
+
+    /// The period has begun: the call, if there is still time for it under this lease.
+    pub fn begun(&mut self, now: f64, held: &Held, period: u64, attempt: u64, holder: &Holder) -> Answered {
+        if !matches!(self.stage, Stage::Asked(_)) || attempt != self.attempt {
+            // An answer that was overtaken, or came twice.
+            return Answered::Overtaken;
+        }
+        if self.token(now, holder) == Some(held.token) {
+            self.calls += 1;
+            let order = Order { task: self.number, held: held.clone(), period };
+            self.stage = Stage::Calling(order.clone());
+            return Answered::Call(order);
+        }
+        self.stage = Stage::Resting(now + RETRY_S);
+        Answered::Tell(self.tell(held.clone(), period, Ending::NotDone))
+    }
+
+    /// It has not: nothing is due before `in_s`.
+    pub fn not_begun(&mut self, now: f64, in_s: f64) {
+        if matches!(self.stage, Stage::Asked(_)) {
+            self.untold = None;
+            self.stage = Stage::Resting(now + in_s);
+        }
+    }
+
+    /// The call has ended.
+    pub fn ended(&mut self, now: f64, ending: Ending) -> Option<Say> {
+        let Stage::Calling(order) = std::mem::replace(&mut self.stage, Stage::Resting(now + RETRY_S)) else {
+            return None;
+        };
+        match ending {
+            Ending::Done => self.failures = 0,
+            Ending::NotDone | Ending::Unknown => self.failures += 1,
+        }
+        self.unknown += u64::from(ending == Ending::Unknown);
+        Some(self.tell(order.held, order.period, ending))
+    }
+
+    fn tell(&mut self, held: Held, period: u64, ending: Ending) -> Say {
+        let say = Say::End { held, period, ending };
+        self.untold = Some(say.clone());
+        say
+    }
+
+    /// Over a new link: what may have been lost with the old one. It changes nothing where it was not.
+    pub fn relinked(&mut self, now: f64) -> Option<Say> {
+        if matches!(self.stage, Stage::Asked(_)) {
+            self.stage = Stage::Asked(now - ASK_AGAIN_S);
+        }
+        self.untold.clone()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::frame::Renewed;
+    use super::*;
+
+    fn schedule(safe: bool) -> Schedule {
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        Schedule { name: "t".into(), period_s: 10.0, address, path: "/".into(), deadline_s: 0.5, safe }
+    }
+
+    fn held(token: u64) -> Held {
+        Held { task: "t".into(), token }
+    }
+
+    /// A holder whose lease was renewed with a sign of life sent at `at`.
+    fn holding(at: f64) -> Holder {
+        let mut holder = Holder::new(0.1);
+        holder.granted(&held(1));
+        holder.ask(at, 1);
+        holder.kept(1, &[Renewed { held: held(1), ttl_ms: 3000 }]);
+        holder
+    }
+
+    #[test]
+    fn nothing_is_asked_or_sent_under_a_lease_that_ends_before_the_call_may() {
+        let holder = holding(0.0);
+        let mut task = Scheduled::new(0, schedule(false));
+        assert_eq!(task.tick(2.3, &holder), None);
+        assert!(matches!(task.tick(1.0, &holder), Some(Say::Begin { attempt: 1, .. })));
+        // The answer comes late: what has begun surely had no effect, and the log hears so.
+        let told = task.begun(2.3, &held(1), 4, 1, &holder);
+        assert_eq!(told, Answered::Tell(Say::End { held: held(1), period: 4, ending: Ending::NotDone }));
+    }
+
+    #[test]
+    fn a_lost_answer_is_asked_for_again_under_the_same_attempt_and_the_call_is_made_once() {
+        let holder = holding(0.0);
+        let mut task = Scheduled::new(0, schedule(false));
+        let first = task.tick(0.1, &holder);
+        assert_eq!(task.tick(0.2, &holder), None);
+        assert_eq!(task.tick(1.7, &holder), first);
+        assert!(matches!(task.begun(1.8, &held(1), 1, 1, &holder), Answered::Call(_)));
+        assert_eq!(task.begun(1.8, &held(1), 1, 1, &holder), Answered::Overtaken, "it came twice");
+        let end = task.ended(1.9, Ending::Unknown);
+        assert_eq!(task.relinked(2.0), end, "it may have been lost with the link");
+    }
+
+    #[test]
+    fn a_holder_that_fails_three_times_in_a_row_gives_its_turn_away() {
+        let mut task = Scheduled::new(0, schedule(true));
+        for n in 1..=3u32 {
+            let now = f64::from(n) * 2.0;
+            let holder = holding(now);
+            assert!(!task.gives_up());
+            assert!(task.tick(now, &holder).is_some());
+            assert!(matches!(task.begun(now, &held(1), 1, u64::from(n), &holder), Answered::Call(_)));
+            task.ended(now, Ending::NotDone);
+        }
+        assert!(task.gives_up() && !task.gives_up());
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod brain;
 pub mod config;
 pub mod core;
+pub mod fleet;
 pub mod handover;
 pub mod interface;
 pub mod net;
