Run coordinators and fleets as real processes: sockets, worker's link, command line, relays

Need: leases were proven in virtual time; the processes, their disk and their links had to stand round the same code. Change: coordinator/src/net.rs (one loop, the disk on a thread of its own), honeypost-coordinator and honeypost-fleet, src/net/peers/fleet.rs (one link, scheduled calls), [fleet] in an operator's file, lab/src/fleet (relays, acts stand-in, rig), honeypost-lab fleet and fault, make fleet; free tasks go to whoever holds fewest.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run toy
+.PHONY: build test lint run toy fleet
 
 build:
 	cargo build --release --locked
@@ -16,3 +16,8 @@
 
 toy:
 	cargo run --locked --example toy_site
+
+# Three coordinators and six workers on loopback, until Ctrl-C; `honeypost-lab fault target/fleet ...` puts faults between.
+fleet:
+	cargo build --release --locked --workspace
+	target/release/honeypost-lab fleet lab/fleets/small.toml --folder target/fleet
--- /dev/null
+++ b/coordinator/src/bin/honeypost-fleet.rs
@@ -0,0 +1,123 @@
+//! The operators' command line of a fleet. Exit status: 0 done, 1 refused, 2 can't be used, 3 no quorum in time.
+
+use clap::{Parser, Subcommand};
+use honeypost::fleet::frame::Question;
+use honeypost_coordinator::ask::{ask_all, ask_leader, Asked};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+#[derive(Parser)]
+#[command(name = "honeypost-fleet", version, about = "Asks a fleet's coordinators")]
+struct Arguments {
+    /// Their addresses, with commas between.
+    #[arg(long, value_delimiter = ',', env = "HONEYPOST_COORDINATORS", required = true)]
+    coordinators: Vec<SocketAddr>,
+    /// The fleet's name.
+    #[arg(long, env = "HONEYPOST_FLEET", default_value = "polderlijn")]
+    fleet: String,
+    /// One JSON value instead of a table.
+    #[arg(long)]
+    json: bool,
+    /// How long a quorum is waited for (seconds).
+    #[arg(long, default_value_t = 5.0)]
+    wait: f64,
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// How each coordinator stands.
+    Status,
+    /// Which workers are in session.
+    Members,
+    /// Who holds what.
+    Leases,
+    /// Tasks, their latest periods, and calls whose outcome nobody knows.
+    Tasks,
+    /// Puts a fresh member in the place of a coordinator that has lost its disk.
+    Replace { coordinator: String },
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    if !(0.0..=3600.0).contains(&arguments.wait) {
+        eprintln!("honeypost-fleet: --wait is {}; expected 0 to 3600", arguments.wait);
+        return ExitCode::from(2);
+    }
+    let wait = Duration::from_secs_f64(arguments.wait);
+    let (all, fleet) = (&arguments.coordinators, arguments.fleet.as_str());
+    let asked = match &arguments.what {
+        What::Status => ask_all(all, fleet, wait),
+        What::Members => ask_leader(all, fleet, &Question::Members, wait),
+        What::Leases => ask_leader(all, fleet, &Question::Leases, wait),
+        What::Tasks => ask_leader(all, fleet, &Question::Tasks, wait),
+        What::Replace { coordinator } => {
+            ask_leader(all, fleet, &Question::Replace { coordinator: coordinator.clone() }, wait)
+        }
+    };
+    match asked {
+        Asked::Answer(answer) => {
+            if arguments.json {
+                println!("{answer}");
+            } else {
+                print!("{}", table(&answer));
+            }
+            ExitCode::SUCCESS
+        }
+        Asked::Refused(why) => {
+            eprintln!("honeypost-fleet: refused: {why}");
+            ExitCode::from(1)
+        }
+        Asked::NoQuorum(why) => {
+            eprintln!("honeypost-fleet: no quorum within {} s: {why}", arguments.wait);
+            ExitCode::from(3)
+        }
+    }
+}
+
+/// Rows of objects as columns; what is no list of objects is printed as it is.
+fn table(answer: &Value) -> String {
+    let mut text = String::new();
+    match answer {
+        Value::Array(rows) => {
+            let Some(Value::Object(first)) = rows.first() else { return "none\n".to_owned() };
+            let names: Vec<&String> = first.keys().collect();
+            let cell = |v: Option<&Value>| match v {
+                None | Some(Value::Null) => "-".to_owned(),
+                Some(Value::String(s)) => s.clone(),
+                Some(other) => other.to_string(),
+            };
+            let wide = |n: &&String| {
+                let cells = rows.iter().map(|r| cell(r.get(n.as_str())).len());
+                cells.max().unwrap_or(0).max(n.len())
+            };
+            let widths: Vec<usize> = names.iter().map(wide).collect();
+            let mut line = |cells: Vec<String>| {
+                let padded: Vec<String> =
+                    cells.iter().zip(&widths).map(|(c, w)| format!("{c:w$}", w = *w)).collect();
+                text.push_str(padded.join("  ").trim_end());
+                text.push('\n');
+            };
+            line(names.iter().map(|n| (*n).clone()).collect());
+            for row in rows {
+                line(names.iter().map(|n| cell(row.get(n.as_str()))).collect());
+            }
+        }
+        Value::Object(parts) => {
+            for (name, part) in parts {
+                match part {
+                    Value::Array(_) => {
+                        text.push_str(&format!("{name}:\n"));
+                        table(part).lines().for_each(|l| text.push_str(&format!("  {l}\n")));
+                    }
+                    other => text.push_str(&format!("{name}: {other}\n")),
+                }
+            }
+        }
+        other => text = format!("{other}\n"),
+    }
+    text
+}
--- a/coordinator/src/desk.rs
+++ b/coordinator/src/desk.rs
@@ -84,7 +84,8 @@
     until: BTreeMap<u64, f64>,
     /// Tokens that are being freed or passed on, and since when: they are not renewed any more.
     freeing: BTreeMap<u64, f64>,
-    granting: BTreeMap<String, f64>,
+    /// By task: since when, and to which session.
+    granting: BTreeMap<String, (f64, u64)>,
     /// By token: who gives it back because it failed at the task.
     failing: BTreeMap<u64, String>,
     /// Holders that failed at a task: how often in a row, and until when they wait.
@@ -445,10 +446,11 @@
         self.failed.retain(|_, (_, until)| now < *until + 3600.0);
     }
 
-    /// One of those that wait is granted each free task: preferred zones first, then whoever has waited longest.
+    /// One of those that wait is granted each free task: preferred zones first, then whoever holds fewest, then whoever
+    /// has waited longest. One is told, not all that wait.
     fn grant_free(&mut self, now: f64, facts: &Facts) {
         for (name, task) in &facts.tasks {
-            let tried = self.granting.get(name).is_some_and(|at| now - at < AGAIN_S);
+            let tried = self.granting.get(name).is_some_and(|(at, _)| now - at < AGAIN_S);
             if facts.leases.contains_key(name) || tried {
                 continue;
             }
@@ -463,10 +465,13 @@
                     return None;
                 }
                 let zone = task.zones.iter().position(|z| *z == session.zone).unwrap_or(task.zones.len());
-                Some((zone, place, *id))
+                // Tasks are spread: whoever holds fewest goes before whoever has waited longest.
+                let held = facts.leases.values().filter(|l| l.session == *id).count();
+                let coming = self.granting.values().filter(|(_, session)| session == id).count();
+                Some((zone, held + coming, place, *id))
             });
-            if let Some((_, _, session)) = next.min() {
-                self.granting.insert(name.clone(), now);
+            if let Some((.., session)) = next.min() {
+                self.granting.insert(name.clone(), (now, session));
                 self.acts.push(Act::Propose(Command::Grant { task: name.clone(), session }));
             }
         }
--- a/coordinator/src/lib.rs
+++ b/coordinator/src/lib.rs
@@ -1,4 +1,12 @@
+//! The coordinators of a fleet: its few hard facts in a replicated log. `docs/design/05-leases.md` has the reasons.
+//!
+//! [`facts`] is the state machine, [`replica`] one member of the quorum, [`desk`] what a leader does beside the log,
+//! [`coordinator`] all three as one machine without I/O; [`net`] puts sockets, a disk and a clock round it.
+
+pub mod ask;
+pub mod config;
 pub mod coordinator;
 pub mod desk;
 pub mod facts;
+pub mod net;
 pub mod replica;
--- /dev/null
+++ b/lab/src/fleet/acts.rs
@@ -0,0 +1,188 @@
+//! The stand-in for what fleet-wide tasks act upon. It takes an act only under a token as high as any it has seen, breaks
+//! off one that is under way under a lower token, and writes a line for each act that it was asked for, by its one clock.
+
+use crate::sockets::lock;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// One line of `acts.jsonl`.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct ActLine {
+    pub task: String,
+    pub token: u64,
+    pub holder: String,
+    pub begin_ms: u64,
+    pub end_ms: u64,
+    pub accepted: bool,
+    pub period: u64,
+}
+
+#[derive(Default)]
+struct Task {
+    highest: u64,
+    done: u64,
+}
+
+struct Site {
+    start: Instant,
+    work: Duration,
+    tasks: Mutex<HashMap<String, Task>>,
+    lines: Mutex<std::fs::File>,
+    fenced: bool,
+}
+
+/// Starts it; where it listens. Without `fenced` it takes every token: the counter-proof.
+pub fn start(path: &Path, work_ms: u64, fenced: bool) -> Result<SocketAddr, String> {
+    let door = TcpListener::bind("127.0.0.1:0").map_err(|e| format!("acts: {e}"))?;
+    let address = door.local_addr().map_err(|e| format!("acts: {e}"))?;
+    let file = std::fs::File::create(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let site = Arc::new(Site {
+        start: Instant::now(),
+        work: Duration::from_millis(work_ms),
+        tasks: Mutex::default(),
+        lines: Mutex::new(file),
+        fenced,
+    });
+    thread::spawn(move || {
+        for stream in door.incoming().map_while(Result::ok) {
+            let site = site.clone();
+            thread::spawn(move || site.serve(&stream));
+        }
+    });
+    Ok(address)
+}
+
+impl Site {
+    fn serve(&self, mut stream: &TcpStream) {
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
+        let mut fields = HashMap::new();
+        for line in BufReader::new(stream).lines().map_while(Result::ok) {
+            if line.is_empty() {
+                let status = self.act(&fields);
+                let reply = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+                let _ = stream.write_all(reply.as_bytes());
+                return;
+            }
+            if let Some((name, value)) = line.split_once(": ") {
+                fields.insert(name.to_ascii_lowercase(), value.to_owned());
+            }
+        }
+    }
+
+    fn ms(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    fn act(&self, fields: &HashMap<String, String>) -> &'static str {
+        let text = |name: &str| fields.get(name).cloned().unwrap_or_default();
+        let number = |name: &str| text(name).parse::<u64>().unwrap_or(0);
+        let (task, token, period) = (text("task"), number("fencing-token"), number("task-period"));
+        let begin_ms = self.ms();
+        let may = {
+            let mut tasks = lock(&self.tasks);
+            let known = tasks.entry(task.clone()).or_default();
+            let stale = self.fenced && token < known.highest;
+            known.highest = known.highest.max(token);
+            if stale {
+                Err("409 Conflict")
+            } else if known.done >= period {
+                // It has been done in this period: the caller may count on it.
+                Err("200 OK")
+            } else {
+                Ok(())
+            }
+        };
+        if may.is_ok() {
+            thread::sleep(self.work);
+        }
+        let accepted = may.is_ok() && {
+            let mut tasks = lock(&self.tasks);
+            let known = tasks.entry(task.clone()).or_default();
+            // Somebody with a higher token has come meanwhile: this act is broken off.
+            let last = !self.fenced || known.highest == token;
+            if last {
+                known.done = known.done.max(period);
+            }
+            last
+        };
+        let line = ActLine {
+            task,
+            token,
+            holder: text("task-holder"),
+            begin_ms,
+            end_ms: self.ms(),
+            accepted,
+            period,
+        };
+        if let Ok(text) = serde_json::to_string(&line) {
+            let _ = writeln!(lock(&self.lines), "{text}");
+        }
+        match may {
+            Err(status) => status,
+            Ok(()) if accepted => "200 OK",
+            Ok(()) => "409 Conflict",
+        }
+    }
+}
+
+/// All acts so far.
+pub fn read(path: &Path) -> Vec<ActLine> {
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    text.lines().filter_map(|l| serde_json::from_str(l).ok()).collect()
+}
+
+/// What is wrong with these acts: accepted ones overlap, a token goes down, a period is acted twice.
+pub fn judge(acts: &[ActLine]) -> Vec<String> {
+    let mut wrong = Vec::new();
+    let mut by_task: HashMap<&str, Vec<&ActLine>> = HashMap::new();
+    acts.iter().filter(|a| a.accepted).for_each(|a| by_task.entry(&a.task).or_default().push(a));
+    for (task, mut acts) in by_task {
+        acts.sort_by_key(|a| (a.begin_ms, a.end_ms));
+        for pair in acts.windows(2) {
+            let (one, two) = (pair[0], pair[1]);
+            if two.begin_ms < one.end_ms {
+                wrong.push(format!("{task}: {one:?} and {two:?} overlap"));
+            }
+            if two.token < one.token {
+                wrong.push(format!("{task}: the token goes down from {one:?} to {two:?}"));
+            }
+            if two.period <= one.period {
+                wrong.push(format!("{task}: {two:?} comes in the period of {one:?} or before"));
+            }
+        }
+    }
+    wrong
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_judge_finds_each_kind_of_wrong() {
+        let act = |token, begin_ms, end_ms, period| ActLine {
+            task: "t".into(),
+            token,
+            holder: "w".into(),
+            begin_ms,
+            end_ms,
+            accepted: true,
+            period,
+        };
+        assert!(judge(&[act(1, 0, 10, 1), act(1, 10, 20, 2), act(3, 20, 30, 3)]).is_empty());
+        for (acts, kind) in [
+            ([act(1, 0, 10, 1), act(2, 9, 20, 2)], "overlap"),
+            ([act(2, 0, 10, 1), act(1, 10, 20, 2)], "goes down"),
+            ([act(1, 0, 10, 2), act(2, 10, 20, 2)], "comes in the period"),
+        ] {
+            let wrong = judge(&acts);
+            assert!(wrong.len() == 1 && wrong[0].contains(kind), "{wrong:?}");
+        }
+    }
+}
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -1,3 +1,6 @@
 //! Fleets: coordinators and workers with faults between them, in virtual time and as real processes.
 
+pub mod acts;
+pub mod relay;
+pub mod rig;
 pub mod virtual_fleet;
--- a/lab/src/fleet/virtual_fleet.rs
+++ b/lab/src/fleet/virtual_fleet.rs
@@ -198,6 +198,53 @@
     world.verdict
 }
 
+/// Plays many seeds and sums them up; `true` if none was found broken.
+pub fn campaign(shape: &Shape, from: u64, seeds: u64) -> (String, bool) {
+    let (mut sum, mut gaps, mut broken) = (Verdict::default(), Vec::new(), Vec::new());
+    let workers = std::thread::available_parallelism().map_or(1, usize::from).min(8) as u64;
+    let shares: Vec<Vec<(u64, Verdict)>> = std::thread::scope(|scope| {
+        let play_share = |share: u64| {
+            let seeds = (from..from + seeds).filter(move |seed| seed % workers == share);
+            scope.spawn(move || seeds.map(|seed| (seed, play(shape, seed))).collect())
+        };
+        let handles: Vec<_> = (0..workers).map(play_share).collect();
+        handles.into_iter().map(|h| h.join().unwrap_or_default()).collect()
+    });
+    let mut plays: Vec<(u64, Verdict)> = shares.into_iter().flatten().collect();
+    plays.sort_by_key(|(seed, _)| *seed);
+    let played = plays.len();
+    for (seed, verdict) in plays {
+        sum.accepted += verdict.accepted;
+        sum.refused += verdict.refused;
+        sum.leaders += verdict.leaders;
+        sum.grants += verdict.grants;
+        sum.faults.extend(verdict.faults.iter().cloned());
+        gaps.extend(verdict.gaps_s);
+        if let Some(first) = verdict.violations.first() {
+            broken.push(format!("seed {seed}: {first}\n  {}", verdict.faults.join("\n  ")));
+        }
+    }
+    gaps.sort_by(f64::total_cmp);
+    let quantile = |q: f64| gaps.get(((gaps.len() as f64 - 1.0) * q) as usize).copied().unwrap_or(0.0);
+    let text = format!(
+        "{played} seeds, {} faults, {} leaders, {} grants, {} acts accepted, {} refused; broken: {}\n\
+         a task held by nobody: {} times, p50 {:.2} s, p90 {:.2} s, p99 {:.2} s\n{}",
+        sum.faults.len(),
+        sum.leaders,
+        sum.grants,
+        sum.accepted,
+        sum.refused,
+        broken.len(),
+        gaps.len(),
+        quantile(0.5),
+        quantile(0.9),
+        quantile(0.99),
+        broken.join("\n")
+    );
+    // A share that ended badly counts as broken.
+    (text.trim_end().to_owned(), broken.is_empty() && played as u64 == seeds)
+}
+
 impl World {
     fn new(shape: &Shape, seed: u64) -> World {
         let mut world = World {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,9 +2,14 @@
 
 use clap::{Parser, Subcommand};
 use honeypost_lab::experiment::Experiment;
+use honeypost_lab::fleet::rig::{self, FleetFile, Programs};
+use honeypost_lab::fleet::virtual_fleet::{self, Shape};
 use honeypost_lab::{limits, measure, sockets, virtual_time};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
 
 #[derive(Parser)]
 #[command(name = "honeypost-lab", about = "Plays experiments on honeypost")]
@@ -33,6 +38,36 @@
         #[arg(long, default_value_t = 10)]
         seeds: u64,
     },
+    /// Starts a fleet of processes on loopback, and stays until Ctrl-C.
+    Fleet {
+        file: PathBuf,
+        /// Where its files go.
+        #[arg(long)]
+        folder: PathBuf,
+        /// Ends by itself after so long (seconds).
+        #[arg(long = "for")]
+        for_s: Option<f64>,
+        /// Where the programs are.
+        #[arg(long, default_value = "target/release")]
+        programs: PathBuf,
+    },
+    /// Does something to a fleet that runs: cut A B [--one-way], heal A B, pause, resume, kill, start, fill, free NAME.
+    Fault {
+        folder: PathBuf,
+        #[arg(required = true, trailing_var_arg = true, allow_hyphen_values = true)]
+        words: Vec<String>,
+    },
+    /// Plays fleets in virtual time, a seed each, with a fault every second; prints what was found.
+    Campaign {
+        #[arg(long, default_value_t = 0)]
+        from: u64,
+        #[arg(long, default_value_t = 100)]
+        seeds: u64,
+        #[arg(long, default_value_t = 5)]
+        coordinators: usize,
+        #[arg(long, default_value_t = 300)]
+        workers: usize,
+    },
     /// Plays it in virtual time, round the worker's own core.
     Sim {
         file: PathBuf,
@@ -59,6 +94,29 @@
     let (file, worker, json, seeds) = match Arguments::parse().what {
         What::Run { file, worker, json, seeds } => (file, Some(worker), json, seeds),
         What::Sim { file, json, seeds } => (file, None, json, seeds),
+        What::Fleet { file, folder, for_s, programs } => {
+            let file = FleetFile::read(&file)?;
+            let programs = Programs::beside(&programs)?;
+            let over = Arc::new(AtomicBool::new(false));
+            let told = over.clone();
+            ctrlc::set_handler(move || told.store(true, Ordering::Relaxed)).map_err(|e| e.to_string())?;
+            if let Some(for_s) = for_s {
+                let timed = over.clone();
+                std::thread::spawn(move || {
+                    std::thread::sleep(Duration::from_secs_f64(for_s.clamp(0.0, 86_400.0)));
+                    timed.store(true, Ordering::Relaxed);
+                });
+            }
+            rig::serve(file, &folder, programs, &over)?;
+            return Ok(true);
+        }
+        What::Fault { folder, words } => return rig::ask_fault(&folder, &words).map(|()| true),
+        What::Campaign { from, seeds, coordinators, workers } => {
+            let shape = Shape { coordinators, workers, ..Shape::default() };
+            let (text, good) = virtual_fleet::campaign(&shape, from, seeds);
+            println!("{text}");
+            return Ok(good);
+        }
         What::Limits { seeds } => {
             println!("{}", limits::compare(seeds));
             return Ok(true);
--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -38,6 +38,10 @@
 pub struct Clock(Instant);
 
 impl Clock {
+    pub fn from_now() -> Clock {
+        Clock(Instant::now())
+    }
+
     pub fn now(&self) -> f64 {
         Instant::now().saturating_duration_since(self.0).as_secs_f64()
     }
@@ -288,7 +292,7 @@
 }
 
 /// The executor behind its protocol: one thread takes links and lines, one plays the model.
-fn serve_executor(
+pub fn serve_executor(
     door: TcpListener,
     experiment: &Experiment,
     clock: Clock,
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,8 +1,10 @@
 //! What the program is told: the settings object that both adapters decode, and a port worker's configuration.
 
+pub mod fleet;
 pub mod operator;
 pub mod pools;
 
+pub use fleet::{FleetSettings, TaskSettings};
 pub use operator::{
     AjpSettings, DirectorySettings, Http2Settings, Identity, Operator, Route, ServerSettings, TenantRule,
 };
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -1,5 +1,6 @@
 //! An operator's file: what is set up beside the platform, in TOML, checked against the platform's settings.
 
+use super::fleet::FleetSettings;
 use super::pools::PoolSettings;
 use super::Config;
 use serde::Deserialize;
@@ -15,6 +16,7 @@
     pub directory: Option<DirectorySettings>,
     pub pools: Option<PoolSettings>,
     pub http2: Option<Http2Settings>,
+    pub fleet: Option<FleetSettings>,
 }
 
 /// The HTTP/2 front; what each bound guards against is in `docs/operators/http2.md`.
@@ -310,6 +312,9 @@
         if let Some(http2) = &operator.http2 {
             http2.check()?;
         }
+        if let Some(fleet) = &operator.fleet {
+            fleet.check()?;
+        }
         if let Some(pools) = &operator.pools {
             pools.plan(&config.settings)?;
         }
@@ -323,6 +328,7 @@
             ("[backend]", self.backend != other.backend),
             ("[directory]", self.directory != other.directory),
             ("[http2]", self.http2 != other.http2),
+            ("[fleet]", self.fleet != other.fleet),
         ];
         differs.into_iter().filter_map(|(name, differs)| differs.then_some(name)).collect()
     }
--- a/src/net/base/buffer.rs
+++ b/src/net/base/buffer.rs
@@ -163,6 +163,11 @@
         (if self.ended { Filled::Ended } else { Filled::Open }, dropped > 0)
     }
 
+    /// So many unread bytes are kept at most from here on.
+    pub fn set_room(&mut self, room: usize) {
+        self.room = room;
+    }
+
     /// Whether more may be there to be read.
     pub fn unread(&self) -> bool {
         self.readable && !self.ended
--- a/src/net/base/poll.rs
+++ b/src/net/base/poll.rs
@@ -38,6 +38,9 @@
     Records(u64),
     AjpServer(u64),
     Directory(u64),
+    /// The link to the coordinators, and calls for the fleet; at a coordinator, its links.
+    FleetListener,
+    Fleet(u64),
 }
 
 /// What one wait has brought.
--- a/src/net/base/wheel.rs
+++ b/src/net/base/wheel.rs
@@ -16,6 +16,8 @@
     /// A search in the directory has run out of time, by its number.
     Search(u64),
     Beat,
+    /// Something is due in the worker's membership of its fleet.
+    Fleet,
     Sweep,
     Relink,
     /// Accepting was paused for want of descriptors.
--- /dev/null
+++ b/src/net/life/fleet.rs
@@ -0,0 +1,45 @@
+//! What a worker's own life means to its fleet: figures, drains, leaving, and the process that takes its place.
+
+use crate::core::Core;
+use crate::fleet::frame::Counts;
+use crate::net::Worker;
+use std::fmt::Write;
+
+impl Worker {
+    /// The fleet's part of a turn.
+    pub(in crate::net) fn fleet_turn(&mut self, now: f64) {
+        let Some(fleet) = &mut self.fleet else { return };
+        let gone = self.leaving.is_some() || self.replacement.as_ref().is_some_and(|r| r.door.given_away());
+        if gone {
+            fleet.member.leave();
+        }
+        // One whose place another still has does not act for the fleet beside it.
+        let serves = self.replacement.as_ref().map_or(true, |r| r.door.is_open()) && self.core.is_some();
+        let at = fleet.now();
+        fleet.member.set_takes(at, serves && !self.state.draining);
+        let (core, known) = (&self.core, &self.state.known);
+        let figures = || -> Counts {
+            let Some(core) = core else { return Counts::new() };
+            let mut counts = Counts::new();
+            for (class, one) in core.figures().classes().iter().enumerate() {
+                let name = known.class_name(class);
+                for (what, n) in [("success", one.success), ("overload", one.overload), ("error", one.error)]
+                {
+                    counts.insert(format!("{name}.{what}"), n);
+                }
+            }
+            counts.insert("concurrent".to_owned(), Core::owed(core) as u64);
+            counts
+        };
+        fleet.turn(now, figures, &mut self.wheel, &mut self.log);
+    }
+
+    /// The fleet's figures for operators, a line each.
+    pub(in crate::net) fn fleet_figures(&self) -> String {
+        let Some(fleet) = &self.fleet else { return String::new() };
+        fleet.member.figures(fleet.now()).iter().fold(String::new(), |mut text, (name, value)| {
+            let _ = writeln!(text, "{name}={value}");
+            text
+        })
+    }
+}
--- a/src/net/life/operating.rs
+++ b/src/net/life/operating.rs
@@ -36,7 +36,8 @@
             Call::Metrics => {
                 let (counts, concurrent) =
                     self.core.as_ref().map_or((&self.early, 0), |core| (core.figures(), core.owed()));
-                console::Reply::new(200, console::figures(&self.state.known, counts, concurrent))
+                let figures = console::figures(&self.state.known, counts, concurrent);
+                console::Reply::new(200, figures + &self.fleet_figures())
             }
             Call::Drain => {
                 self.drain(true);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -27,6 +27,7 @@
 use peers::ajp_backend::AjpBackend;
 use peers::directory::Directory;
 use peers::executor::{Executor, Welcome};
+use peers::fleet::Fleet;
 use peers::records::Records;
 use peers::registry::{Registry, BEAT_S};
 use std::collections::hash_map::RandomState;
@@ -170,6 +171,7 @@
     servers: Option<AjpBackend>,
     records: Option<Records>,
     registry: Option<Registry>,
+    fleet: Option<Fleet>,
     leaving: Option<Leaving>,
     /// What came up too late in a turn to be handed over in it.
     left_over: Vec<Input>,
@@ -266,6 +268,7 @@
         };
         let directory = operator.directory.clone().map(|settings| Directory::new(poll, settings));
         let servers = operator.backend.clone().map(|settings| AjpBackend::new(poll, settings));
+        let fleet = operator.fleet.as_ref().map(|f| Fleet::new(poll, f.plan(&config)));
         let registry = match config.registry {
             Some(to) => Some(Registry::new(to, &config.name).map_err(|e| format!("registry {to}: {e}"))?),
             None => None,
@@ -331,6 +334,7 @@
             executor,
             servers,
             registry,
+            fleet,
         })
     }
 
@@ -391,6 +395,13 @@
                         s.mark(id, readable, writable);
                     }
                 }
+                Place::Fleet(id) => {
+                    if let Some(f) = &mut self.fleet {
+                        f.mark(id, readable, writable);
+                    }
+                }
+                // Coordinators have such a listener, workers none.
+                Place::FleetListener => {}
                 Place::Executor(id) => self.executor.mark(id, readable, writable),
                 Place::Records(id) => {
                     if let Some(r) = &mut self.records {
@@ -432,6 +443,7 @@
                 self.wheel.set(now, 0.0, Timer::Again);
             }
         }
+        self.fleet_turn(now);
         // Guards the last round's outcomes: a run given back there would otherwise never be answered.
         self.left_over = inputs;
         if std::mem::take(&mut self.sweep_due) {
--- a/src/net/peers/mod.rs
+++ b/src/net/peers/mod.rs
@@ -4,5 +4,6 @@
 pub mod ajp_backend;
 pub mod directory;
 pub mod executor;
+pub mod fleet;
 pub mod records;
 pub mod registry;
