--- a/coordinator/src/desk.rs
+++ b/coordinator/src/desk.rs
@@ -75,7 +75,7 @@
     held: Vec<Held>,
 }
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Desk {
     guards: Guards,
     leads: bool,
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use honeypost_lab::experiment::Experiment;
+use honeypost_lab::fleet::measure as fleet_cost;
 use honeypost_lab::fleet::rig::{self, FleetFile, Programs};
 use honeypost_lab::fleet::virtual_fleet::{self, Shape};
 use honeypost_lab::{limits, measure, sockets, virtual_time};
@@ -68,6 +69,19 @@
         #[arg(long, default_value_t = 300)]
         workers: usize,
     },
+    /// Measures a fleet of processes: takeovers after kills and cuts, and what sessions ask of a leader.
+    FleetCost {
+        #[arg(long, default_value_t = 10)]
+        takeovers: usize,
+        #[arg(long, value_delimiter = ',', default_value = "10,100,300,1000")]
+        sessions: Vec<usize>,
+        #[arg(long, default_value_t = 10.0)]
+        for_s: f64,
+        #[arg(long, default_value = "target/fleet-cost")]
+        folder: PathBuf,
+        #[arg(long, default_value = "target/release")]
+        programs: PathBuf,
+    },
     /// Plays it in virtual time, round the worker's own core.
     Sim {
         file: PathBuf,
@@ -117,6 +131,12 @@
             println!("{text}");
             return Ok(good);
         }
+        What::FleetCost { takeovers, sessions, for_s, folder, programs } => {
+            let programs = Programs::beside(&programs)?;
+            println!("{}", fleet_cost::sessions(&folder, programs.clone(), &sessions, for_s)?);
+            println!("{}", fleet_cost::takeovers(&folder.join("takeovers"), programs, takeovers)?);
+            return Ok(true);
+        }
         What::Limits { seeds } => {
             println!("{}", limits::compare(seeds));
             return Ok(true);
--- a/src/fleet/holder.rs
+++ b/src/fleet/holder.rs
@@ -19,6 +19,7 @@
     ttl_s: f64,
 }
 
+#[derive(Clone, Debug)]
 pub struct Holder {
     /// The share of a lease's time that is not used, for drift of both clocks together.
     drift: f64,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -343,6 +343,11 @@
         lines
     }
 
+    /// Whether it is in session now.
+    pub fn is_linked(&self) -> bool {
+        self.session.is_up()
+    }
+
     /// Until when, on its clock, this worker believes that nobody else can hold the task.
     pub fn holds_until(&self, task: &str) -> Option<f64> {
         self.holder.until(task)
