--- a/coordinator/src/config.rs
+++ b/coordinator/src/config.rs
@@ -142,11 +142,11 @@
         let file = File::decode(good).unwrap();
         assert_eq!(file.listens().unwrap().port(), 7101);
         for (from, to, said) in [
-            ("name = \"c1\"\n", "name = \"c9\"\n", "name is \"c9\", which no [[coordinator]] has"),
+            ("name = \"c1\"  ", "name = \"c9\"  ", "name is \"c9\", which no [[coordinator]] has"),
             ("127.0.0.1:7102", "127.0.0.1:7101", "coordinator c2: its name or address"),
             ("epoch = 1", "epoch = 0", "epoch is 0; expected 1"),
-            ("ttl_ms = 3000", "ttl_ms = 3", "task nightly-report.ttl_ms is 3; expected 500"),
-            ("ttl_ms = 3000", "tll_ms = 3000", "line 33: unknown field `tll_ms`"),
+            ("ttl_ms = 3000", "ttl_ms = 3", "task totals.ttl_ms is 3; expected 500"),
+            ("ttl_ms = 3000", "tll_ms = 3000", "line 26: unknown field `tll_ms`"),
             ("\"totals\"", "\"to tals\"", "task.name is \"to tals\"; expected letters"),
             (
                 "[[coordinator]]\nname = \"c3\"\naddress = \"127.0.0.1:7103\"\n",
