--- a/coordinator/src/coordinator.rs
+++ b/coordinator/src/coordinator.rs
@@ -292,7 +292,8 @@
             Say::Bye => self.desk.bye(now, link, facts),
             Say::Unknown => {}
         }
-        self.desk.tick(now, &self.replica.facts);
+        // The rest of what is due can wait for the tick: it looks at every session.
+        self.desk.ask(now, &self.replica.facts);
         Ok(())
     }
 
--- a/coordinator/src/desk.rs
+++ b/coordinator/src/desk.rs
@@ -205,7 +205,7 @@
     }
 
     /// Asks for the quorum's word for all renewals that have come since it was asked last.
-    fn ask(&mut self, now: f64, facts: &Facts) {
+    pub fn ask(&mut self, now: f64, facts: &Facts) {
         if self.fresh.is_empty() {
             return;
         }
--- a/coordinator/src/net.rs
+++ b/coordinator/src/net.rs
@@ -14,7 +14,7 @@
 use honeypost_durable::Folder;
 use rustix::time::{clock_gettime, ClockId};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,6 +25,8 @@
 const TICK_S: f64 = 0.02;
 /// A link that says nothing whole for so long is closed (seconds): workers say something every second.
 const SILENT_S: f64 = 30.0;
+/// How often all links are looked at (seconds).
+const SWEEP_S: f64 = 1.0;
 /// How often a peer that is not linked is tried (seconds).
 const DIAL_S: f64 = 0.2;
 /// What may wait to be written on one link (bytes).
@@ -119,6 +121,8 @@
         disk: disk_thread(&file.folder, answers),
         machine: Coordinator::new(0.0, file.setup(), seed),
         file,
+        touched: BTreeSet::new(),
+        swept: 0.0,
     };
     tracing::info!(coordinator = %shell.file.name, fleet = %shell.file.fleet, %at, "listens");
     let mut gathered = Gathered::default();
@@ -157,6 +161,9 @@
     disk: std::sync::mpsc::Sender<(u64, Job)>,
     machine: Coordinator,
     file: File,
+    /// Links on which something may be read.
+    touched: BTreeSet<u64>,
+    swept: f64,
 }
 
 impl Shell {
@@ -176,6 +183,7 @@
                     if let Some(link) = link.or(peer.map(|(_, link)| link)) {
                         link.mark(readable, writable);
                     }
+                    self.touched.insert(id);
                 }
                 _ => {}
             }
@@ -220,27 +228,44 @@
                 .and_then(|()| Link::new(&self.poll, stream, Place::Fleet(id), SAY_MOST_BYTES + 4));
             if let Ok(link) = made {
                 self.machine.opened(id);
+                self.touched.insert(id);
                 self.inbound.insert(id, Inbound { link, heard: now, closing: false });
             }
         }
     }
 
     fn hear(&mut self, now: f64) {
-        let ids: Vec<u64> = self.inbound.keys().copied().collect();
-        for id in ids {
+        if now - self.swept >= SWEEP_S {
+            // Silent links are found by looking at all of them, now and then.
+            self.swept = now;
+            self.touched.extend(self.inbound.keys());
+        }
+        for id in std::mem::take(&mut self.touched) {
             let Some(own) = self.inbound.get_mut(&id).filter(|i| !i.closing) else { continue };
             let filled = own.link.fill();
             let mut over = filled != Filled::Open || now - own.heard > SILENT_S;
-            for _ in 0..FRAMES_MOST {
+            for n in 0..FRAMES_MOST {
+                if n + 1 == FRAMES_MOST {
+                    self.touched.insert(id);
+                }
                 let most = self.machine.frame_most(id);
                 let Some(own) = self.inbound.get_mut(&id).filter(|i| !i.closing) else { break };
                 own.link.set_room(most + 4);
                 let result = match next_frame(own.link.data(), most) {
-                    Ok(None) => break,
+                    Ok(None) => {
+                        if own.link.unread() {
+                            self.touched.insert(id);
+                        }
+                        break;
+                    }
                     Ok(Some((body, length))) => {
                         let result = self.machine.heard(now, id, body);
                         own.heard = now;
                         own.link.consume(length);
+                        if own.link.unread() {
+                            // The buffer was full: the rest lies in the socket, and nobody will tell of it again.
+                            self.touched.insert(id);
+                        }
                         result
                     }
                     Err(why) => Err(why),
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -134,6 +134,9 @@
         What::FleetCost { takeovers, sessions, for_s, folder, programs } => {
             let programs = Programs::beside(&programs)?;
             println!("{}", fleet_cost::sessions(&folder, programs.clone(), &sessions, for_s)?);
+            if takeovers == 0 {
+                return Ok(true);
+            }
             println!("{}", fleet_cost::takeovers(&folder.join("takeovers"), programs, takeovers)?);
             return Ok(true);
         }
