--- a/coordinator/src/desk.rs
+++ b/coordinator/src/desk.rs
@@ -72,7 +72,9 @@
     link: LinkId,
     session: u64,
     seq: u64,
-    held: Vec<Held>,
+    /// With the time to live that was counted when it came: no more than that is given, whatever is in force by the
+    /// time the quorum has spoken.
+    held: Vec<(Held, u64)>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -192,16 +194,20 @@
             }
         }
         let held: Vec<Held> = keep.held.into_iter().take(TASKS_MOST).collect();
-        for one in &held {
-            if let Some(lease) = facts.lease(one).filter(|l| l.session == session) {
+        let mut counted = Vec::new();
+        for one in held {
+            let mut ttl_ms = 0;
+            if let Some(lease) = facts.lease(&one).filter(|l| l.session == session) {
                 if !self.freeing.contains_key(&one.token) {
+                    ttl_ms = lease.ttl_ms;
                     let until = self.until.entry(one.token).or_insert(now);
                     // Counted from when it came, whether or not it is granted in the end.
-                    *until = until.max(now + lease.ttl_ms as f64 / 1000.0);
+                    *until = until.max(now + ttl_ms as f64 / 1000.0);
                 }
             }
+            counted.push((one, ttl_ms));
         }
-        self.fresh.push(Renewal { link, session, seq: keep.seq, held });
+        self.fresh.push(Renewal { link, session, seq: keep.seq, held: counted });
     }
 
     /// Asks for the quorum's word for all renewals that have come since it was asked last.
@@ -236,13 +242,14 @@
 
     fn renew(&mut self, now: f64, renewal: Renewal, facts: &Facts) {
         let valid = |held: &Held| {
-            let lease = facts.lease(held).filter(|l| l.session == renewal.session)?;
-            (!self.freeing.contains_key(&held.token)).then_some(lease.ttl_ms)
+            let held_still = facts.lease(held).is_some_and(|l| l.session == renewal.session);
+            held_still && !self.freeing.contains_key(&held.token)
         };
         let leases: Vec<Renewed> = renewal
             .held
             .iter()
-            .filter_map(|held| Some(Renewed { held: held.clone(), ttl_ms: valid(held)? }))
+            .filter(|(held, ttl_ms)| *ttl_ms > 0 && valid(held))
+            .map(|(held, ttl_ms)| Renewed { held: held.clone(), ttl_ms: *ttl_ms })
             .collect();
         let adds_up = leases.iter().any(|r| r.held.task == TOTALS);
         let figures = match adds_up {
@@ -549,3 +556,36 @@
     pub figures: Option<Counts>,
     pub totals: Option<Totals>,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::facts::Task;
+
+    fn tasks(epoch: u64, ttl_ms: u64) -> Command {
+        let task = Task { name: "t".into(), ttl_ms, zones: Vec::new(), pause_ms: 0 };
+        Command::Tasks { epoch, tasks: vec![task] }
+    }
+
+    #[test]
+    fn a_renewal_gives_no_more_than_was_counted_when_it_came() {
+        let mut facts = Facts::default();
+        let apply = |facts: &mut Facts, command| facts.apply(&LogEntry { at_ms: 0, command }).unwrap();
+        apply(&mut facts, tasks(1, 1000));
+        apply(&mut facts, Command::Open { name: "w".into(), zone: "z".into(), process: 1, version: 2 });
+        apply(&mut facts, Command::Grant { task: "t".into(), session: 1 });
+        let mut desk = Desk::new(Guards::default());
+        desk.lead(0.0, &facts);
+        desk.hello(0.0, 5, Hello { name: "w".into(), zone: "z".into(), process: 1, version: 2 }, &facts);
+        let held = vec![Held { task: "t".into(), token: 1 }];
+        desk.keep(1.0, 5, Keep { seq: 1, held: held.clone(), ..Keep::default() }, &facts);
+        desk.ask(1.0, &facts);
+        // The time to live grows between the renewal and the quorum's word for it.
+        apply(&mut facts, tasks(2, 9000));
+        desk.confirmed(1.1, 1, &facts);
+        let leases = vec![Renewed { held: held[0].clone(), ttl_ms: 1000 }];
+        let kept = Word::Kept { seq: 1, leases, totals: None, figures: Vec::new() };
+        assert_eq!(desk.take_acts().pop(), Some(Act::Send(5, kept)));
+        assert!(desk.left(1.1, 1) <= 1.0);
+    }
+}
--- a/lab/tests/fleet_virtual.rs
+++ b/lab/tests/fleet_virtual.rs
@@ -37,3 +37,12 @@
     assert_eq!((one.digest, one.faults, one.accepted), (two.digest, two.faults, two.accepted));
     assert_ne!(one.digest, play(&shape, 8).digest);
 }
+
+/// In both a task's time to live grew between a renewal and the quorum's word for it.
+#[test]
+fn seeds_that_once_failed_hold() {
+    let shape = Shape { coordinators: 5, workers: 300, ..Shape::default() };
+    for seed in [1488, 1998] {
+        assert_eq!(play(&shape, seed).violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
