Drop two events of a replica that nobody listened to

Found on a second reading: a member's standing already says that it is aside or back, and the coordinator logs changes of it.

--- a/coordinator/src/coordinator.rs
+++ b/coordinator/src/coordinator.rs
@@ -510,7 +510,6 @@
                 }
             }
             Happened::Confirmed(number) => self.desk.confirmed(now, number, &self.replica.facts),
-            Happened::Aside(_) | Happened::Back => {}
         }
     }
 }
--- a/coordinator/src/replica.rs
+++ b/coordinator/src/replica.rs
@@ -107,9 +107,6 @@
     Applied(Entry, Result<Outcome, Refusal>),
     /// A quorum has confirmed that this member led after this number was asked for.
     Confirmed(u64),
-    /// Out of the quorum, and why.
-    Aside(String),
-    Back,
 }
 
 /// Whether it takes part.
@@ -267,7 +264,7 @@
     /// Peers won't have it, and say why; see [`Standing::Barred`].
     pub fn bar(&mut self, now: f64, why: &str) {
         if self.standing == Standing::Member {
-            self.step_aside(now, Standing::Barred(why.to_owned()), why);
+            self.step_aside(now, Standing::Barred(why.to_owned()));
         }
     }
 
@@ -303,28 +300,24 @@
                 (self.node, self.ticked, self.standing) = (Some(node), now, Standing::Member);
                 self.timeout.0 = u64::MAX;
                 self.own_timeout();
-                self.happened.push(Happened::Back);
                 self.follow_up(now);
             }
             Err(e) => self.standing = Standing::Aside(format!("the log can't be taken up: {e}")),
         }
     }
 
-    fn step_aside(&mut self, now: f64, standing: Standing, why: &str) {
+    fn step_aside(&mut self, now: f64, standing: Standing) {
         self.node = None;
         self.waiting.clear();
         self.retry_at = now + RETRY_S;
         if std::mem::take(&mut self.leads) {
             self.happened.push(Happened::Followed);
         }
-        if self.standing != standing {
-            self.happened.push(Happened::Aside(why.to_owned()));
-        }
         self.standing = standing;
     }
 
     fn aside(&mut self, now: f64, why: String) {
-        self.step_aside(now, Standing::Aside(why.clone()), &why);
+        self.step_aside(now, Standing::Aside(why));
     }
 
     fn job(&mut self, now: f64, job: Job) -> u64 {
