Take the counting of leases' time out of the desk into a module of its own

What decides whether two may hold is the account of until when each lease lasts, and which renewals wait for which question.

Change: Tenure and Questions hold just that; the desk asks them. No decision changes.

--- a/coordinator/src/desk.rs
+++ b/coordinator/src/desk.rs
@@ -7,9 +7,11 @@
 //! never act at once.
 
 use crate::facts::{Command, Entry as LogEntry, Facts, Outcome, Refusal, Why};
+pub use crate::tenure::Guards;
+use crate::tenure::{Questions, Tenure};
 use honeypost::fleet::frame::{Counts, Ending, Held, Renewed, Totals, Word, TASKS_MOST};
 use std::collections::btree_map::Entry;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How long a silent session is kept (milliseconds): longer than a worker needs to find a new leader.
 pub const SESSION_TTL_MS: u64 = 10_000;
@@ -30,21 +32,6 @@
 /// Which link a word goes to.
 pub type LinkId = u64;
 
-/// The guards that the proof takes away one at a time; all stand in service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Guards {
-    /// A new leader gives every lease its whole time again.
-    pub whole_ttl: bool,
-    /// Renewals wait until a quorum has confirmed the leader.
-    pub confirm: bool,
-}
-
-impl Default for Guards {
-    fn default() -> Guards {
-        Guards { whole_ttl: true, confirm: true }
-    }
-}
-
 /// What the leader is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Act {
@@ -77,7 +64,7 @@
     held: Vec<(Held, u64)>,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Desk {
     guards: Guards,
     leads: bool,
@@ -85,22 +72,17 @@
     links: BTreeMap<LinkId, u64>,
     /// Links whose session is being opened, by name and process.
     opening: BTreeMap<LinkId, (String, u64)>,
-    /// By token: when the lease ends at the latest as its holder may count.
-    until: BTreeMap<u64, f64>,
-    /// Tokens that are being freed or passed on, and since when: they are not renewed any more.
-    freeing: BTreeMap<u64, f64>,
-    /// By task: since when, and to which session.
+    /// How long its leases last.
+    tenure: Tenure,
     /// By token: leases that wait for a successor, from which session, and until when.
     passing: BTreeMap<u64, (Held, u64, f64)>,
+    /// By task: since when, and to which session.
     granting: BTreeMap<String, (f64, u64)>,
     /// By token: who gives it back because it failed at the task.
     failing: BTreeMap<u64, String>,
     /// Holders that failed at a task: how often in a row, and until when they wait.
     failed: BTreeMap<(String, String), (u32, f64)>,
-    renewals: VecDeque<(u64, Vec<Renewal>)>,
-    fresh: Vec<Renewal>,
-    next_confirm: u64,
-    asked_at: f64,
+    renewals: Questions<Renewal>,
     place: u64,
     totals: Option<(Totals, f64)>,
     acts: Vec<Act>,
@@ -108,7 +90,27 @@
 
 impl Desk {
     pub fn new(guards: Guards) -> Desk {
-        Desk { guards, next_confirm: 1, ..Desk::default() }
+        Desk::fresh(guards, 1)
+    }
+
+    /// Nothing but the numbers of questions goes on from one tenure to the next.
+    fn fresh(guards: Guards, next_question: u64) -> Desk {
+        Desk {
+            guards,
+            leads: false,
+            sessions: BTreeMap::new(),
+            links: BTreeMap::new(),
+            opening: BTreeMap::new(),
+            tenure: Tenure::default(),
+            passing: BTreeMap::new(),
+            granting: BTreeMap::new(),
+            failing: BTreeMap::new(),
+            failed: BTreeMap::new(),
+            renewals: Questions::new(next_question, AGAIN_S),
+            place: 0,
+            totals: None,
+            acts: Vec::new(),
+        }
     }
 
     pub fn take_acts(&mut self) -> Vec<Act> {
@@ -117,12 +119,9 @@
 
     /// This member leads from now on. What was before may have granted anything up to now.
     pub fn lead(&mut self, now: f64, facts: &Facts) {
-        let (guards, next_confirm) = (self.guards, self.next_confirm);
-        *self = Desk { guards, next_confirm, leads: true, ..Desk::default() };
-        let seconds = |ms: u64| if guards.whole_ttl { ms as f64 / 1000.0 } else { 0.0 };
-        for lease in facts.leases.values() {
-            self.until.insert(lease.token, now + seconds(lease.whole_ms));
-        }
+        *self = Desk::fresh(self.guards, self.renewals.next());
+        self.leads = true;
+        self.tenure = Tenure::lead(self.guards, now, facts.leases.values());
         for id in facts.sessions.keys() {
             self.sessions
                 .insert(*id, Live { until: now + SESSION_TTL_MS as f64 / 1000.0, ..Live::default() });
@@ -132,8 +131,7 @@
     /// It leads no more: nothing that waits will be granted here. Links that it served.
     pub fn follow(&mut self) -> Vec<LinkId> {
         let links = self.links.keys().chain(self.opening.keys()).copied().collect();
-        let (guards, next_confirm) = (self.guards, self.next_confirm);
-        *self = Desk { guards, next_confirm, ..Desk::default() };
+        *self = Desk::fresh(self.guards, self.renewals.next());
         links
     }
 
@@ -196,46 +194,27 @@
         let held: Vec<Held> = keep.held.into_iter().take(TASKS_MOST).collect();
         let mut counted = Vec::new();
         for one in held {
-            let mut ttl_ms = 0;
-            if let Some(lease) = facts.lease(&one).filter(|l| l.session == session) {
-                if !self.freeing.contains_key(&one.token) {
-                    ttl_ms = lease.ttl_ms;
-                    let until = self.until.entry(one.token).or_insert(now);
-                    // Counted from when it came, whether or not it is granted in the end.
-                    *until = until.max(now + ttl_ms as f64 / 1000.0);
-                }
-            }
+            let own = facts.lease(&one).filter(|l| l.session == session);
+            let ttl_ms = own.map_or(0, |lease| self.tenure.came(now, lease));
             counted.push((one, ttl_ms));
         }
-        self.fresh.push(Renewal { link, session, seq: keep.seq, held: counted });
+        self.renewals.came(Renewal { link, session, seq: keep.seq, held: counted });
     }
 
     /// Asks for the quorum's word for all renewals that have come since it was asked last.
     pub fn ask(&mut self, now: f64, facts: &Facts) {
-        if self.fresh.is_empty() {
-            return;
-        }
         if !self.guards.confirm {
-            for renewal in std::mem::take(&mut self.fresh) {
+            for renewal in self.renewals.take_fresh() {
                 self.renew(now, renewal, facts);
             }
-            return;
-        }
-        // One question at a time, unless the answer to the last one seems lost.
-        if self.renewals.is_empty() || now - self.asked_at > AGAIN_S {
-            self.renewals.push_back((self.next_confirm, std::mem::take(&mut self.fresh)));
-            self.acts.push(Act::Confirm(self.next_confirm));
-            (self.next_confirm, self.asked_at) = (self.next_confirm + 1, now);
         }
+        self.acts.extend(self.renewals.ask(now).map(Act::Confirm));
     }
 
     /// A quorum has confirmed that this member led after it asked this.
     pub fn confirmed(&mut self, now: f64, number: u64, facts: &Facts) {
-        while self.renewals.front().is_some_and(|(asked, _)| *asked <= number) {
-            let (_, renewals) = self.renewals.pop_front().unwrap_or_default();
-            for renewal in renewals {
-                self.renew(now, renewal, facts);
-            }
+        for renewal in self.renewals.confirmed(number) {
+            self.renew(now, renewal, facts);
         }
         self.ask(now, facts);
     }
@@ -243,7 +222,7 @@
     fn renew(&mut self, now: f64, renewal: Renewal, facts: &Facts) {
         let valid = |held: &Held| {
             let held_still = facts.lease(held).is_some_and(|l| l.session == renewal.session);
-            held_still && !self.freeing.contains_key(&held.token)
+            held_still && !self.tenure.is_freeing(held.token)
         };
         let leases: Vec<Renewed> = renewal
             .held
@@ -282,7 +261,7 @@
         if !facts.lease(&held).is_some_and(|l| l.session == session) {
             return;
         }
-        self.freeing.insert(held.token, now);
+        self.tenure.free(now, held.token);
         let name = facts.sessions.get(&session).map_or("", |s| s.name.as_str());
         if failed {
             self.failing.insert(held.token, name.to_owned());
@@ -319,7 +298,7 @@
             if self.passing.contains_key(&lease.token) {
                 continue;
             }
-            self.freeing.insert(lease.token, now);
+            self.tenure.free(now, lease.token);
             let held = Held { task: task.clone(), token: lease.token };
             self.acts.push(Act::Propose(Command::Free { held, why: Why::GivenBack }));
         }
@@ -333,7 +312,7 @@
     pub fn begin(&mut self, link: LinkId, asked: Asked, facts: &Facts) {
         let Asked { held, every_ms, safe, attempt } = asked;
         let own = self.session(link).is_some_and(|s| facts.lease(&held).is_some_and(|l| l.session == s));
-        if own && !self.freeing.contains_key(&held.token) {
+        if own && !self.tenure.is_freeing(held.token) {
             self.acts.push(Act::Propose(Command::Begin { held, every_ms: every_ms.max(1), safe, attempt }));
         } else {
             let why = Refusal::NotHeld.to_string();
@@ -362,13 +341,11 @@
                 self.granted(now, result, facts);
             }
             (Command::Transfer { held, .. }, result) => {
-                self.freeing.remove(&held.token);
-                self.until.remove(&held.token);
+                self.tenure.freed(held.token);
                 self.granted(now, result, facts);
             }
             (Command::Free { held, why }, Ok(_)) => {
-                self.freeing.remove(&held.token);
-                self.until.remove(&held.token);
+                self.tenure.freed(held.token);
                 self.note_failure(now, held, *why, facts);
             }
             (Command::Begin { held, attempt, .. }, result) => {
@@ -428,7 +405,7 @@
     fn granted(&mut self, now: f64, result: &Result<Outcome, Refusal>, facts: &Facts) {
         let Ok(Outcome::Granted(held)) = result else { return };
         let ttl_ms = facts.lease(held).map_or(0, |l| l.ttl_ms);
-        self.until.insert(held.token, now + ttl_ms as f64 / 1000.0);
+        self.tenure.granted(now, held.token, ttl_ms);
         if let Some(link) = self.link_of(held, facts) {
             self.acts.push(Act::Send(link, Word::Granted { held: held.clone() }));
         }
@@ -459,11 +436,7 @@
 
     fn free_silent(&mut self, now: f64, facts: &Facts) {
         for (task, lease) in &facts.leases {
-            // A lease that is not known here came about under this leader's eyes; it has its whole time.
-            let until = *self.until.entry(lease.token).or_insert(now + lease.whole_ms as f64 / 1000.0);
-            let tried = self.freeing.get(&lease.token).copied();
-            if now >= until && tried.map_or(true, |at| now - at > AGAIN_S) {
-                self.freeing.insert(lease.token, now);
+            if self.tenure.lapses(now, lease, AGAIN_S) {
                 let held = Held { task: task.clone(), token: lease.token };
                 self.acts.push(Act::Propose(Command::Free { held, why: Why::Lapsed }));
             }
@@ -525,7 +498,7 @@
 
     /// How long a lease lasts at most (seconds), if nothing renews it.
     pub fn left(&self, now: f64, token: u64) -> f64 {
-        self.until.get(&token).map_or(0.0, |until| (until - now).max(0.0))
+        self.tenure.left_s(now, token)
     }
 }
 
