--- a/src/fleet/holder.rs
+++ b/src/fleet/holder.rs
@@ -98,6 +98,11 @@
         self.leases.iter().map(|(task, k)| Held { task: task.clone(), token: k.token })
     }
 
+    /// Signs of life whose answers are still looked for: number, when it was sent, what it asked to renew.
+    pub fn outstanding(&self) -> impl Iterator<Item = &(u64, f64, Vec<Held>)> {
+        self.sent.iter()
+    }
+
     /// A third of the shortest time to live among what is held: so often signs of life are due.
     pub fn renew_every(&self) -> Option<f64> {
         self.leases.values().map(|k| if k.ttl_s > 0.0 { k.ttl_s / 3.0 } else { 0.1 }).reduce(f64::min)
