Keep holders' failures in the log: a new leader does not ask the one that failed first

Cause: how often a holder had failed at a task was the leader's soft state (Desk::note_failure), so after a change of leader the one that had just given its turn away could be granted it again at once.

Change: facts count failures by task and name as Free with Failed is applied, with the pause's end in the log's time; done work forgives them, an hour forgets them, 256 a task at most. The desk turns the pause's end into its own clock.

Measured: table tests for doubling, forgiving, forgetting, and a leader whose clock began long before; also that a log time that steps an hour back or forward begins no period twice (nothing of leases reads the wall clock).

--- a/coordinator/src/desk.rs
+++ b/coordinator/src/desk.rs
@@ -26,8 +26,6 @@
 /// How long a lease that a replaced process gave back waits for its successor's session (seconds): the door may pass
 /// within milliseconds of the successor's start.
 const HEIR_S: f64 = 2.0;
-/// The longest pause of a holder that failed, in multiples of the task's pause.
-const PAUSES_MOST: u32 = 64;
 
 /// Which link a word goes to.
 pub type LinkId = u64;
@@ -78,10 +76,8 @@
     passing: BTreeMap<u64, (Held, u64, f64)>,
     /// By task: since when, and to which session.
     granting: BTreeMap<String, (f64, u64)>,
-    /// By token: who gives it back because it failed at the task.
-    failing: BTreeMap<u64, String>,
-    /// Holders that failed at a task: how often in a row, and until when they wait.
-    failed: BTreeMap<(String, String), (u32, f64)>,
+    /// Holders that failed, by task and name: until when they wait by the log's time, and what that is on this clock.
+    paused: BTreeMap<(String, String), (u64, f64)>,
     renewals: Questions<Renewal>,
     place: u64,
     totals: Option<(Totals, f64)>,
@@ -104,8 +100,7 @@
             tenure: Tenure::default(),
             passing: BTreeMap::new(),
             granting: BTreeMap::new(),
-            failing: BTreeMap::new(),
-            failed: BTreeMap::new(),
+            paused: BTreeMap::new(),
             renewals: Questions::new(next_question, AGAIN_S),
             place: 0,
             totals: None,
@@ -262,10 +257,6 @@
             return;
         }
         self.tenure.free(now, held.token);
-        let name = facts.sessions.get(&session).map_or("", |s| s.name.as_str());
-        if failed {
-            self.failing.insert(held.token, name.to_owned());
-        }
         if pass_on {
             self.passing.insert(held.token, (held, session, now + HEIR_S));
             return self.pass_on(now, facts);
@@ -344,10 +335,7 @@
                 self.tenure.freed(held.token);
                 self.granted(now, result, facts);
             }
-            (Command::Free { held, why }, Ok(_)) => {
-                self.tenure.freed(held.token);
-                self.note_failure(now, held, *why, facts);
-            }
+            (Command::Free { held, .. }, Ok(_)) => self.tenure.freed(held.token),
             (Command::Begin { held, attempt, .. }, result) => {
                 let Some(link) = self.link_of(held, facts) else { return };
                 let held = held.clone();
@@ -365,11 +353,6 @@
                     },
                 ));
             }
-            (Command::End { held, ending: Ending::Done, .. }, Ok(_)) => {
-                let name =
-                    facts.lease(held).and_then(|l| facts.sessions.get(&l.session)).map(|s| s.name.clone());
-                self.failed.remove(&(held.task.clone(), name.unwrap_or_default()));
-            }
             _ => {}
         }
     }
@@ -415,12 +398,21 @@
         self.sessions.get(&facts.lease(held)?.session)?.link
     }
 
-    fn note_failure(&mut self, now: f64, held: &Held, why: Why, facts: &Facts) {
-        let Some(name) = self.failing.remove(&held.token).filter(|_| why == Why::Failed) else { return };
-        let pause_ms = facts.tasks.get(&held.task).map_or(0, |t| t.pause_ms);
-        let entry = self.failed.entry((held.task.clone(), name)).or_insert((0, now));
-        entry.0 = (entry.0 + 1).min(PAUSES_MOST.ilog2() + 1);
-        entry.1 = now + pause_ms as f64 / 1000.0 * f64::from(1u32 << (entry.0 - 1));
+    /// What the log says of holders that failed, on this leader's clock. One that comes to lead counts what was left by
+    /// the last entry's time, so a pause lasts a little longer over a change of leader, never shorter.
+    fn note_pauses(&mut self, now: f64, facts: &Facts) {
+        let known =
+            |task: &String, name: &String| facts.failed.get(task).is_some_and(|f| f.contains_key(name));
+        self.paused.retain(|(task, name), _| known(task, name));
+        for (task, by_name) in &facts.failed {
+            for (name, failed) in by_name {
+                let left_s = failed.until_ms.saturating_sub(facts.at_ms) as f64 / 1000.0;
+                let entry = self.paused.entry((task.clone(), name.clone())).or_insert((0, now));
+                if entry.0 != failed.until_ms {
+                    *entry = (failed.until_ms, now + left_s);
+                }
+            }
+        }
     }
 
     /// Time passes.
@@ -430,6 +422,7 @@
         }
         self.ask(now, facts);
         self.pass_on(now, facts);
+        self.note_pauses(now, facts);
         self.free_silent(now, facts);
         self.grant_free(now, facts);
     }
@@ -451,7 +444,6 @@
             }
         }
         self.sessions.retain(|id, _| facts.sessions.contains_key(id));
-        self.failed.retain(|_, (_, until)| now < *until + 3600.0);
     }
 
     /// One of those that wait is granted each free task: preferred zones first, then whoever holds fewest, then whoever
@@ -467,7 +459,7 @@
                 let session = facts.sessions.get(id)?;
                 // Of two processes of one name the older goes first; it passes its leases on when it leaves.
                 let beside = facts.sessions.iter().any(|(other, s)| other < id && s.name == session.name);
-                let paused = self.failed.get(&(name.clone(), session.name.clone()));
+                let paused = self.paused.get(&(name.clone(), session.name.clone()));
                 let ready = live.link.is_some() && live.closing.is_none() && now < live.until;
                 if beside || !ready || paused.is_some_and(|(_, until)| now < *until) {
                     return None;
@@ -561,4 +553,27 @@
         assert_eq!(desk.take_acts().pop(), Some(Act::Send(5, kept)));
         assert!(desk.left(1.1, 1) <= 1.0);
     }
+
+    #[test]
+    fn a_holder_that_failed_waits_under_the_next_leader_too() {
+        let mut facts = Facts::default();
+        let apply = |facts: &mut Facts, at_ms, command| facts.apply(&LogEntry { at_ms, command }).unwrap();
+        let task = Task { name: "t".into(), ttl_ms: 1000, zones: Vec::new(), pause_ms: 4000 };
+        apply(&mut facts, 0, Command::Tasks { epoch: 1, tasks: vec![task] });
+        apply(&mut facts, 0, Command::Open { name: "w".into(), zone: "z".into(), process: 1, version: 2 });
+        apply(&mut facts, 0, Command::Grant { task: "t".into(), session: 1 });
+        let held = Held { task: "t".into(), token: 1 };
+        apply(&mut facts, 500, Command::Free { held, why: Why::Failed });
+        // This leader's clock began long before the log's.
+        let mut desk = Desk::new(Guards::default());
+        desk.lead(900.0, &facts);
+        desk.hello(900.0, 5, Hello { name: "w".into(), zone: "z".into(), process: 1, version: 2 }, &facts);
+        let grant = Act::Propose(Command::Grant { task: "t".into(), session: 1 });
+        let mut granted_at = |now: f64| {
+            desk.keep(now, 5, Keep { seq: 1, wants: vec!["t".into()], ..Keep::default() }, &facts);
+            desk.tick(now, &facts);
+            desk.take_acts().contains(&grant)
+        };
+        assert!(!granted_at(900.0) && !granted_at(903.9) && granted_at(904.0));
+    }
 }
--- a/coordinator/src/facts.rs
+++ b/coordinator/src/facts.rs
@@ -13,6 +13,12 @@
 pub const SESSIONS_MOST: usize = 4096;
 /// Outcomes of unsafe calls that nobody knows, kept for operators.
 pub const UNKNOWN_MOST: usize = 100;
+/// Holders of one task that failed at it and are remembered; the one whose pause ended first goes first.
+pub const FAILED_MOST: usize = 256;
+/// How long after its pause a holder's failures still count towards the next one (milliseconds).
+const FAILED_FOR_MS: u64 = 3_600_000;
+/// The longest pause of a holder that failed, in doublings of the task's pause.
+const DOUBLINGS_MOST: u32 = 6;
 /// Coordinators at most, past and present.
 const MEMBERS_MOST: usize = 64;
 /// What this program can apply. A command that came later than the agreed version is refused by all alike.
@@ -181,6 +187,13 @@
     pub safe: bool,
 }
 
+/// How often in a row a holder has failed at a task, and until when it waits for its next turn (the log's time).
+#[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq)]
+pub struct Failed {
+    pub times: u32,
+    pub until_ms: u64,
+}
+
 /// A call that may have had its effect, and may not be made again.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
 pub struct Doubt {
@@ -204,6 +217,8 @@
     pub sessions: BTreeMap<u64, Session>,
     pub leases: BTreeMap<String, Lease>,
     pub periods: BTreeMap<String, Period>,
+    /// By task and worker's name.
+    pub failed: BTreeMap<String, BTreeMap<String, Failed>>,
     pub doubts: Vec<Doubt>,
     /// Unsafe calls of unknown outcome in all; the list above is bounded.
     pub doubts_in_all: u64,
@@ -288,9 +303,12 @@
                 }
                 self.grant(task, *session)
             }
-            Command::Free { held, .. } => {
-                self.lease(held).ok_or(Refusal::NotHeld)?;
+            Command::Free { held, why } => {
+                let session = self.lease(held).ok_or(Refusal::NotHeld)?.session;
                 self.leases.remove(&held.task);
+                if *why == Why::Failed {
+                    self.note_failure(&held.task, session);
+                }
                 Ok(Outcome::Done)
             }
             Command::Transfer { held, session } => {
@@ -312,8 +330,11 @@
                     return Err(Refusal::NotHeld);
                 }
                 known.ending = Some(*ending);
-                if *ending == Ending::Unknown && !known.safe {
-                    self.doubt(&held.task);
+                let safe = known.safe;
+                match ending {
+                    Ending::Done => self.forgive(held),
+                    Ending::Unknown if !safe => self.doubt(&held.task),
+                    Ending::Unknown | Ending::NotDone => {}
                 }
                 Ok(Outcome::Done)
             }
@@ -326,6 +347,7 @@
                 }
                 self.epoch = *epoch;
                 self.tasks = tasks.iter().take(TASKS_MOST).map(|t| (t.name.clone(), t.clone())).collect();
+                self.failed.retain(|name, _| self.tasks.contains_key(name));
                 for (name, lease) in &mut self.leases {
                     if let Some(task) = self.tasks.get(name) {
                         lease.ttl_ms = task.ttl_ms;
@@ -402,6 +424,32 @@
         Outcome::Begun(number)
     }
 
+    /// The holder gave its turn away because it failed: the next one comes after a pause that doubles each time.
+    fn note_failure(&mut self, task: &str, session: u64) {
+        let Some(name) = self.sessions.get(&session).map(|s| s.name.clone()) else { return };
+        let pause_ms = self.tasks.get(task).map_or(0, |t| t.pause_ms);
+        let now = self.at_ms;
+        let by_name = self.failed.entry(task.to_owned()).or_default();
+        by_name.retain(|_, failed| now < failed.until_ms.saturating_add(FAILED_FOR_MS));
+        if by_name.len() >= FAILED_MOST && !by_name.contains_key(&name) {
+            let first = by_name.iter().min_by_key(|(_, f)| f.until_ms).map(|(name, _)| name.clone());
+            first.map(|first| by_name.remove(&first));
+        }
+        let failed = by_name.entry(name).or_default();
+        failed.times = failed.times.saturating_add(1);
+        let pauses = 1 << (failed.times - 1).min(DOUBLINGS_MOST);
+        failed.until_ms = now.saturating_add(pause_ms.saturating_mul(pauses));
+    }
+
+    /// It has done what it holds the lease for: earlier failures count no more.
+    fn forgive(&mut self, held: &Held) {
+        let session = self.lease(held).and_then(|lease| self.sessions.get(&lease.session));
+        let name = session.map(|s| s.name.clone()).unwrap_or_default();
+        if let Some(by_name) = self.failed.get_mut(&held.task) {
+            by_name.remove(&name);
+        }
+    }
+
     /// Notes that nobody knows what came of the call of the task's latest period.
     fn doubt(&mut self, task: &str) {
         let Some(period) = self.periods.get(task) else { return };
--- a/coordinator/src/facts/tests.rs
+++ b/coordinator/src/facts/tests.rs
@@ -145,6 +145,48 @@
     assert_eq!(unsafe_one.doubts.iter().map(|d| d.period).collect::<Vec<_>>(), [1]);
 }
 
+#[test]
+fn a_holder_that_fails_waits_twice_as_long_each_time_until_it_has_done_its_task() {
+    let failed = |token| Command::Free { held: held("t", token), why: Why::Failed };
+    let mut story = vec![(0, tasks(1, 3000), "Done"), (0, open(1), "Opened(1)")];
+    for token in 1..=9 {
+        story.extend([(1000, grant(1), "Granted"), (1000, failed(token), "Done")]);
+    }
+    let facts = tell(story.clone());
+    // The task's pause is 100 ms, and the longest is 64 times that.
+    assert_eq!(facts.failed["t"]["w"], Failed { times: 9, until_ms: 1000 + 6400 });
+    story.extend([(1100, grant(1), "Granted"), (1100, begin(10, true), "Begun(1)")]);
+    story.extend([(1101, end(10, 1, Ending::Done), "Done"), (1102, failed(10), "Done")]);
+    let facts = tell(story.clone());
+    assert_eq!(facts.failed["t"]["w"], Failed { times: 1, until_ms: 1202 }, "it begins anew after a success");
+    // An hour later it is forgotten, and with its task at once.
+    story.extend([(3_700_000, grant(1), "Granted"), (3_700_000, failed(11), "Done")]);
+    assert_eq!(tell(story.clone()).failed["t"]["w"].times, 1);
+    story.push((3_700_001, Command::Tasks { epoch: 2, tasks: Vec::new() }, "Done"));
+    assert!(tell(story).failed.is_empty());
+}
+
+#[test]
+fn a_clock_that_steps_an_hour_moves_the_log_s_time_forward_only_and_makes_no_call_twice() {
+    const HOUR: u64 = 3_600_000;
+    let facts = tell(vec![
+        (HOUR, tasks(1, 3000), "Done"),
+        (HOUR, open(1), "Opened"),
+        (HOUR, grant(1), "Granted"),
+        (HOUR, begin(1, false), "Begun(1)"),
+        (HOUR, end(1, 1, Ending::Done), "Done"),
+        // Back by an hour: the period that was done is not begun again, and the next one waits no hour.
+        (100, begin(1, false), "NotDue(1000)"),
+        (HOUR + 1000, begin(1, false), "Begun(2)"),
+        (HOUR + 1001, end(1, 2, Ending::Done), "Done"),
+        // Forward by an hour: what was missed is not made up for.
+        (3 * HOUR, begin(1, false), "Begun(3)"),
+        (3 * HOUR, end(1, 3, Ending::Done), "Done"),
+        (3 * HOUR + 1, begin(1, false), "NotDue(999)"),
+    ]);
+    assert_eq!((facts.at_ms, facts.doubts_in_all), (3 * HOUR + 1, 0));
+}
+
 #[test]
 fn periods_keep_their_grid_and_begin_anew_after_a_gap() {
     tell(vec![
