Add a campaign of random faults among real processes that shortens what breaks

Need: the seeds of honeypost-lab campaign play in virtual time alone, and print a schedule whole.

Change: honeypost-lab process-campaign draws kills, stops, full disks, cuts both ways and one way, delays, resets and replacements for five coordinators and eight workers, plays fleets side by side, lets the acts' log judge, wants every task acted for again within 30 s of the last fault, and leaves faults out of a broken schedule while it still breaks.

--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod acts;
 pub mod measure;
+pub mod process_campaign;
 pub mod relay;
 pub mod rig;
 pub mod virtual_fleet;
--- /dev/null
+++ b/lab/src/fleet/process_campaign.rs
@@ -0,0 +1,333 @@
+//! Random faults among real processes: a seed draws a schedule, a fleet is started and lives through it, the acts' own log
+//! is the judge, and a schedule that breaks something is made shorter while it still does.
+
+use super::acts::{judge, ActLine};
+use super::rig::{get, FleetFile, Programs, Rig};
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::fmt;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const FLEET: &str =
+    "fleet = \"campaign\"\ncoordinators = 5\nworkers = 8\nzones = [\"east\", \"west\"]\nwork_ms = 30\n\
+    [[task]]\nname = \"report\"\nperiod_s = 0.4\nttl_ms = 2000\ndeadline_ms = 300\nsafe = false\n\
+    [[task]]\nname = \"refresh\"\nperiod_s = 0.3\nttl_ms = 3000\ndeadline_ms = 300\nsafe = true\n";
+const TASKS: [&str; 2] = ["report", "refresh"];
+/// Mean time between two faults (seconds).
+const EVERY_S: f64 = 1.0;
+/// How long the fleet may take, once nothing fails any more, until every task is acted for again.
+const RECOVERY: Duration = Duration::from_secs(30);
+/// Plays that making a schedule shorter may take.
+const SHRINK_MOST: usize = 40;
+
+/// What is done to whom, from when and for how long.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fault {
+    pub at_ms: u64,
+    pub for_ms: u64,
+    pub what: What,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum What {
+    Kill(String),
+    Pause(String),
+    Fill(String),
+    Replace(String),
+    Cut { from: String, to: String, one_way: bool },
+    Delay { from: String, to: String, ms: u64 },
+    Reset { from: String, to: String },
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let words = match &self.what {
+            What::Kill(name) => format!("kill {name}"),
+            What::Pause(name) => format!("pause {name}"),
+            What::Fill(name) => format!("fill {name}"),
+            What::Replace(name) => format!("replace {name}"),
+            What::Cut { from, to, one_way } => {
+                format!("cut {from} {to}{}", if *one_way { " --one-way" } else { "" })
+            }
+            What::Delay { from, to, ms } => format!("delay {from} {to} by {ms} ms"),
+            What::Reset { from, to } => format!("reset {from} {to}"),
+        };
+        write!(f, "{:>6} ms, for {:>5} ms: {words}", self.at_ms, self.for_ms)
+    }
+}
+
+impl What {
+    /// Whom it is about.
+    fn names(&self) -> Vec<&str> {
+        match self {
+            What::Kill(name) | What::Pause(name) | What::Fill(name) | What::Replace(name) => vec![name],
+            What::Cut { from, to, .. } | What::Delay { from, to, .. } | What::Reset { from, to } => {
+                vec![from, to]
+            }
+        }
+    }
+
+    /// What can't be done now, as to a process that does not run, is not done.
+    fn begin(&self, rig: &mut Rig) -> Result<(), String> {
+        match self {
+            What::Kill(name) => rig.kill(name),
+            What::Pause(name) => rig.pause(name),
+            What::Fill(name) => rig.fill(name, true),
+            What::Replace(name) => rig.replace(name),
+            What::Cut { from, to, one_way } => rig.cut(from, to, *one_way, true),
+            What::Delay { from, to, ms } => {
+                rig.delay(from, to, *ms);
+                Ok(())
+            }
+            What::Reset { from, to } => {
+                rig.reset(from, to);
+                Ok(())
+            }
+        }
+    }
+
+    fn end(&self, rig: &mut Rig) -> Result<(), String> {
+        match self {
+            What::Kill(name) => rig.start_again(name),
+            What::Pause(name) => rig.resume(name),
+            What::Fill(name) => rig.fill(name, false),
+            What::Cut { from, to, .. } => rig.cut(from, to, false, false),
+            What::Delay { from, to, .. } => {
+                rig.delay(from, to, 0);
+                Ok(())
+            }
+            What::Replace(_) | What::Reset { .. } => Ok(()),
+        }
+    }
+}
+
+/// A seed's faults, in the order of their beginning.
+pub fn draw(seed: u64, for_s: f64, coordinators: &[String], workers: &[String]) -> Vec<Fault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut faults: Vec<Fault> = Vec::new();
+    let mut at_s = 0.0;
+    loop {
+        at_s += -EVERY_S * (1.0 - rng.random::<f64>()).ln();
+        if at_s >= for_s {
+            return faults;
+        }
+        let mut one = |of: &[String]| of.choose(&mut rng).cloned().unwrap_or_default();
+        let (coordinator, other, worker) = (one(coordinators), one(coordinators), one(workers));
+        let anyone = if rng.random_bool(0.5) { coordinator.clone() } else { worker.clone() };
+        let peer = if rng.random_bool(0.5) && other != coordinator { other } else { worker.clone() };
+        let (from, to) =
+            if rng.random_bool(0.5) { (coordinator.clone(), peer) } else { (peer, coordinator.clone()) };
+        let at_ms = (at_s * 1000.0) as u64;
+        let for_ms = rng.random_range(200..6000);
+        let what = match rng.random_range(0..100) {
+            0..=19 => What::Kill(anyone),
+            20..=39 => What::Pause(anyone),
+            40..=49 => What::Fill(coordinator),
+            50..=74 => What::Cut { from, to, one_way: rng.random_bool(0.5) },
+            75..=84 => What::Delay { from, to, ms: rng.random_range(5..400) },
+            85..=92 => What::Reset { from, to },
+            _ => What::Replace(worker),
+        };
+        // A replacement waits for its successor: nothing else may happen to that worker meanwhile.
+        let names: Vec<String> = what.names().into_iter().map(str::to_owned).collect();
+        let alone = matches!(what, What::Replace(_));
+        let beside = faults.iter().any(|f| {
+            let close = f.at_ms + f.for_ms + 2000 > at_ms
+                && f.what.names().iter().any(|n| names.iter().any(|o| o == n));
+            close && (alone || matches!(f.what, What::Replace(_)))
+        });
+        if !beside {
+            faults.push(Fault { at_ms, for_ms: if alone { 2000 } else { for_ms }, what });
+        }
+    }
+}
+
+/// What came of one schedule.
+#[derive(Default)]
+pub struct Lived {
+    pub wrong: Vec<String>,
+    pub acts: Vec<ActLine>,
+    /// How long the fleet took, once nothing failed any more (seconds).
+    pub recovery_s: f64,
+}
+
+/// Starts a fleet and lets it live through these faults.
+///
+/// # Errors
+/// It did not come up.
+pub fn live(folder: &Path, programs: &Programs, faults: &[Fault]) -> Result<Lived, String> {
+    let _ = std::fs::remove_dir_all(folder);
+    let mut rig = Rig::start(FleetFile::decode(FLEET)?, folder, programs.clone())?;
+    let mut lived = Lived::default();
+    if !acted(&rig, &rig.acts(), 2, RECOVERY) {
+        lived.wrong.push("nobody acted before the faults".to_owned());
+    }
+    let mut steps: Vec<(u64, bool, &Fault)> = Vec::new();
+    for fault in faults {
+        steps.extend([(fault.at_ms, true, fault), (fault.at_ms + fault.for_ms, false, fault)]);
+    }
+    steps.sort_by_key(|(at_ms, begins, _)| (*at_ms, *begins));
+    let start = Instant::now();
+    for (at_ms, begins, fault) in steps {
+        std::thread::sleep(Duration::from_millis(at_ms).saturating_sub(start.elapsed()));
+        // One that overlaps another may have nothing to do.
+        let _ = if begins { fault.what.begin(&mut rig) } else { fault.what.end(&mut rig) };
+    }
+    // Of two faults on one process the first to end may have left what the second had begun.
+    let names: Vec<String> = rig.coordinators().into_iter().chain(rig.workers()).collect();
+    for name in &names {
+        let _ = rig.resume(name);
+        let _ = rig.start_again(name);
+        let _ = rig.fill(name, false);
+    }
+    let (before, healed) = (rig.acts(), Instant::now());
+    if !acted(&rig, &before, 3, RECOVERY) {
+        lived.wrong.push(format!("a task is not acted for {RECOVERY:?} after the last fault"));
+    }
+    lived.recovery_s = healed.elapsed().as_secs_f64();
+    for name in rig.workers() {
+        let reply = rig.door(&name).ok_or("no door".to_owned()).and_then(|door| get(door, "/check"));
+        if !reply.as_ref().is_ok_and(|r| r.starts_with("HTTP/1.1 200")) {
+            lived.wrong.push(format!("{name} does not serve: {reply:?}"));
+        }
+    }
+    lived.acts = rig.acts();
+    lived.wrong.extend(judge(&lived.acts));
+    Ok(lived)
+}
+
+/// Waits until each task was acted for so many times more.
+fn acted(rig: &Rig, before: &[ActLine], more: usize, patience: Duration) -> bool {
+    let count = |acts: &[ActLine], task: &str| acts.iter().filter(|a| a.accepted && a.task == task).count();
+    let until = Instant::now() + patience;
+    loop {
+        let now = rig.acts();
+        if TASKS.iter().all(|task| count(&now, task) >= count(before, task) + more) {
+            return true;
+        }
+        if Instant::now() > until {
+            return false;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Fewer faults that still break something: halves are left out, then quarters, and so on to single ones.
+fn shrink(mut faults: Vec<Fault>, mut breaks: impl FnMut(&[Fault]) -> bool) -> Vec<Fault> {
+    let mut plays = 0;
+    let mut part = faults.len().div_ceil(2);
+    while part > 0 && plays < SHRINK_MOST {
+        let mut at = 0;
+        while at < faults.len() && plays < SHRINK_MOST {
+            let mut fewer = faults.clone();
+            fewer.drain(at..(at + part).min(faults.len()));
+            plays += 1;
+            if breaks(&fewer) {
+                faults = fewer;
+            } else {
+                at += part;
+            }
+        }
+        part = if part == 1 { 0 } else { part.div_ceil(2) };
+    }
+    faults
+}
+
+/// Plays seed after seed for so long, several fleets side by side; `true` if nothing was found broken.
+///
+/// # Errors
+/// A fleet did not come up.
+pub fn campaign(
+    folder: &Path,
+    programs: &Programs,
+    from: u64,
+    for_s: f64,
+    faults_s: f64,
+    beside: usize,
+) -> Result<(String, bool), String> {
+    let end = Instant::now() + Duration::from_secs_f64(for_s.clamp(0.0, 86_400.0));
+    let next = std::sync::atomic::AtomicU64::new(from);
+    let lane = |lane: usize| -> Result<Vec<(u64, usize, Lived, Vec<Fault>)>, String> {
+        let own = folder.join(format!("lane-{lane}"));
+        let mut lives = Vec::new();
+        while Instant::now() < end {
+            let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            let names = |kind: char, n: usize| (1..=n).map(|n| format!("{kind}{n}")).collect::<Vec<_>>();
+            let faults = draw(seed, faults_s, &names('c', 5), &names('w', 8));
+            let lived = live(&own, programs, &faults)?;
+            let mut shortest = Vec::new();
+            if !lived.wrong.is_empty() {
+                let kept = folder.join(format!("broken-{seed}"));
+                let _ = std::fs::rename(&own, kept);
+                shortest = shrink(faults.clone(), |fewer| {
+                    live(&own, programs, fewer).is_ok_and(|again| !again.wrong.is_empty())
+                });
+            }
+            lives.push((seed, faults.len(), lived, shortest));
+        }
+        let _ = std::fs::remove_dir_all(&own);
+        Ok(lives)
+    };
+    let lanes: Vec<_> = std::thread::scope(|scope| {
+        let lane = &lane;
+        let handles: Vec<_> = (0..beside.max(1)).map(|n| scope.spawn(move || lane(n))).collect();
+        let ended =
+            |h: std::thread::ScopedJoinHandle<'_, _>| h.join().unwrap_or(Err("a lane panicked".to_owned()));
+        handles.into_iter().map(ended).collect()
+    });
+    let mut lives = Vec::new();
+    for lane in lanes {
+        lives.extend(lane?);
+    }
+    lives.sort_by_key(|(seed, ..)| *seed);
+    let (mut faults, mut accepted, mut refused, mut broken, mut recovery) = (0, 0, 0, 0, Vec::new());
+    let mut text = String::new();
+    for (seed, count, lived, shortest) in &lives {
+        faults += count;
+        accepted += lived.acts.iter().filter(|a| a.accepted).count();
+        refused += lived.acts.iter().filter(|a| !a.accepted).count();
+        recovery.push(lived.recovery_s);
+        if !lived.wrong.is_empty() {
+            broken += 1;
+            let lines: Vec<String> = shortest.iter().map(Fault::to_string).collect();
+            text += &format!("\nseed {seed}: {}\n  {}", lived.wrong.join("; "), lines.join("\n  "));
+        }
+    }
+    recovery.sort_by(f64::total_cmp);
+    let at = |q: f64| recovery.get(((recovery.len() as f64 - 1.0) * q) as usize).copied().unwrap_or(f64::NAN);
+    let summary = format!(
+        "{} fleets of processes, {:.0} s of faults each, {faults} faults, {accepted} acts accepted, {refused} refused; \
+         broken: {broken}\nall tasks acted for three times after the last fault: p50 {:.1} s, p90 {:.1} s, most {:.1} s",
+        lives.len(), faults_s, at(0.5), at(0.9), at(1.0)
+    );
+    Ok((summary + &text, broken == 0))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn some() -> Vec<Fault> {
+        let names = |kind: char| (1..=4).map(|n| format!("{kind}{n}")).collect::<Vec<_>>();
+        draw(7, 60.0, &names('c'), &names('w'))
+    }
+
+    #[test]
+    fn a_seed_draws_one_schedule_with_every_kind_of_fault() {
+        let faults = some();
+        assert_eq!(faults, some());
+        let kinds: std::collections::HashSet<_> =
+            faults.iter().map(|f| std::mem::discriminant(&f.what)).collect();
+        assert_eq!(kinds.len(), 7, "{faults:#?}");
+    }
+
+    #[test]
+    fn a_schedule_is_cut_down_to_the_faults_that_matter() {
+        let faults = some();
+        let matters = [faults[3].clone(), faults[20].clone()];
+        let short = shrink(faults, |fewer| matters.iter().all(|m| fewer.contains(m)));
+        assert!(short.len() < 12 && matters.iter().all(|m| short.contains(m)), "{short:#?}");
+    }
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use honeypost_lab::experiment::Experiment;
 use honeypost_lab::fleet::measure as fleet_cost;
+use honeypost_lab::fleet::process_campaign;
 use honeypost_lab::fleet::rig::{self, FleetFile, Programs};
 use honeypost_lab::fleet::virtual_fleet::{self, Shape};
 use honeypost_lab::{limits, measure, sockets, virtual_time};
@@ -69,6 +70,24 @@
         #[arg(long, default_value_t = 300)]
         workers: usize,
     },
+    /// Plays fleets of real processes, a seed each, with a fault every second; what breaks one is made shorter and printed.
+    ProcessCampaign {
+        #[arg(long, default_value_t = 0)]
+        from: u64,
+        /// New seeds are begun for so long (seconds).
+        #[arg(long = "for", default_value_t = 3600.0)]
+        for_s: f64,
+        /// How long faults come to each fleet (seconds).
+        #[arg(long, default_value_t = 30.0)]
+        faults_s: f64,
+        /// Fleets side by side.
+        #[arg(long, default_value_t = 2)]
+        beside: usize,
+        #[arg(long, default_value = "target/campaign")]
+        folder: PathBuf,
+        #[arg(long, default_value = "target/release")]
+        programs: PathBuf,
+    },
     /// Measures a fleet of processes: takeovers after kills and cuts, and what sessions ask of a leader.
     FleetCost {
         #[arg(long, default_value_t = 10)]
@@ -131,6 +150,12 @@
             println!("{text}");
             return Ok(good);
         }
+        What::ProcessCampaign { from, for_s, faults_s, beside, folder, programs } => {
+            let programs = Programs::beside(&programs)?;
+            let (text, good) = process_campaign::campaign(&folder, &programs, from, for_s, faults_s, beside)?;
+            println!("{text}");
+            return Ok(good);
+        }
         What::FleetCost { takeovers, sessions, for_s, folder, programs } => {
             let programs = Programs::beside(&programs)?;
             println!("{}", fleet_cost::sessions(&folder, programs.clone(), &sessions, for_s)?);
