--- a/lab/src/fleet/measure.rs
+++ b/lab/src/fleet/measure.rs
@@ -1,10 +1,10 @@
 //! What a fleet costs and how long it takes: takeovers after kills and cuts, and what sessions ask of a leader.
 
+use super::crowd::Crowd;
 use super::rig::{FleetFile, Programs, Rig};
-use honeypost::fleet::frame::{decode, encode, Question, Word, HEAR_MOST_BYTES};
-use honeypost::fleet::{Act, Member, Plan};
+use honeypost::fleet::frame::{decode, encode, Question, Say, Word, HEAR_MOST_BYTES, VERSION};
 use honeypost_coordinator::ask::{ask, ask_leader, Asked};
-use std::io::{ErrorKind, Read, Write};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -81,67 +81,105 @@
     Ok(format!("TTL 3 s; holder killed: {}\n          holder cut:    {}", quantiles(killed), quantiles(cut)))
 }
 
-/// A session of the tool's own.
-struct Session {
-    member: Member,
-    stream: Option<TcpStream>,
+/// The coordinator that leads.
+fn leader(rig: &Rig) -> Option<String> {
+    rig.coordinators().into_iter().find(|c| {
+        let at = rig.address(c);
+        let status = at.and_then(|at| ask(at, "cost", &Question::Status, Duration::from_secs(1)).ok());
+        matches!(status, Some(Word::Answer { answer }) if answer["leads"] == true)
+    })
+}
+
+/// A session that takes a task and gives it back, over and over.
+struct Taker {
+    stream: TcpStream,
     data: Vec<u8>,
 }
 
-impl Session {
-    /// One round; bytes sent and received.
-    fn turn(&mut self, now: f64) -> (u64, u64) {
-        let (mut up, mut down) = (0, 0);
-        let mut part = [0; 16 * 1024];
-        if let Some(stream) = &mut self.stream {
-            match stream.read(&mut part) {
-                Ok(0) => self.broken(now),
-                Ok(n) => {
-                    down += n as u64;
-                    self.data.extend_from_slice(&part[..n]);
+impl Taker {
+    fn say(&mut self, say: &Say) -> Result<(), String> {
+        self.stream.write_all(&encode(say)).map_err(|e| e.to_string())
+    }
+
+    /// Reads until a word is one that `wanted` takes something from.
+    fn until<T>(&mut self, wanted: impl Fn(&Word) -> Option<T>) -> Result<T, String> {
+        let mut part = [0; 4096];
+        loop {
+            while let Some((word, length)) =
+                decode::<Word>(&self.data, HEAR_MOST_BYTES).map_err(|e| e.to_string())?
+            {
+                self.data.drain(..length);
+                if let Some(found) = wanted(&word) {
+                    return Ok(found);
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                Err(_) => self.broken(now),
             }
-        }
-        while let Ok(Some((word, length))) = decode::<Word>(&self.data, HEAR_MOST_BYTES) {
-            self.data.drain(..length);
-            self.member.heard(now, &word);
-        }
-        self.member.tick(now, || [("concurrent".to_owned(), 3)].into_iter().collect());
-        for act in self.member.take_acts() {
-            match act {
-                Act::Connect(to) => match TcpStream::connect_timeout(&to, Duration::from_secs(1)) {
-                    Ok(stream) => {
-                        let _ = stream.set_nonblocking(true);
-                        let _ = stream.set_nodelay(true);
-                        self.stream = Some(stream);
-                        self.data.clear();
-                        self.member.connected();
-                        // Its greeting goes with the next round.
-                    }
-                    Err(_) => self.member.broken(now),
-                },
-                Act::Send(say) => {
-                    let bytes = encode(&say);
-                    up += bytes.len() as u64;
-                    // Frames are far smaller than a socket's buffer.
-                    let sent = self.stream.as_mut().map_or(true, |s| s.write_all(&bytes).is_ok());
-                    if !sent {
-                        self.broken(now);
-                    }
-                }
-                Act::Close => self.stream = None,
-                Act::Call(_) | Act::Log(_) => {}
+            match self.stream.read(&mut part).map_err(|e| e.to_string())? {
+                0 => return Err("the coordinator closed the link".to_owned()),
+                n => self.data.extend_from_slice(&part[..n]),
             }
         }
-        (up, down)
     }
+}
 
-    fn broken(&mut self, now: f64) {
-        self.stream = None;
-        self.member.broken(now);
+/// How many leases a second are granted and given back, each two commands in the log, by so many takers of a task each; and
+/// what the leader's memory comes to meanwhile.
+///
+/// # Errors
+/// What did not come about.
+pub fn grants(folder: &Path, programs: Programs, takers: usize, for_s: f64) -> Result<String, String> {
+    let mut text = "fleet = \"cost\"\ncoordinators = 3\nworkers = 1\n".to_owned();
+    for n in 0..takers {
+        text += &format!("[[task]]\nname = \"t{n}\"\nperiod_s = 1000.0\nsafe = true\n");
     }
+    let mut rig = Rig::start(FleetFile::decode(&text)?, folder, programs)?;
+    // The tasks are the takers'.
+    rig.kill("w1")?;
+    wait("a leader", || leader(&rig).is_some())?;
+    let name = leader(&rig).ok_or("no leader")?;
+    let (at, pid) = (rig.address(&name).ok_or("no address")?, rig.pid(&name).ok_or("no process")?);
+    // Until the worker that was killed holds nothing any more.
+    std::thread::sleep(Duration::from_secs(5));
+    let begun = Instant::now();
+    let take = |n: usize| -> Result<u64, String> {
+        let stream = TcpStream::connect(at).map_err(|e| e.to_string())?;
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_read_timeout(Some(PATIENCE));
+        let mut taker = Taker { stream, data: Vec::new() };
+        let (fleet, process) = ("cost".to_owned(), n as u64 + 1);
+        taker.say(&Say::Hello {
+            fleet,
+            version: VERSION,
+            name: format!("s{n}"),
+            zone: "z".into(),
+            process,
+        })?;
+        taker.until(|w| matches!(w, Word::Welcome { .. }).then_some(()))?;
+        let mut taken = 0;
+        while begun.elapsed().as_secs_f64() < for_s {
+            let wants = vec![format!("t{n}")];
+            taker.say(&Say::Keep { seq: taken + 1, wants, held: Vec::new(), figures: None, totals: None })?;
+            let held = taker.until(|w| match w {
+                Word::Granted { held } => Some(held.clone()),
+                _ => None,
+            })?;
+            taker.say(&Say::GiveBack { held, failed: false, pass_on: false })?;
+            taken += 1;
+        }
+        Ok(taken)
+    };
+    let mut rows = format!("takers {takers}, memory of the leader (MB) at each tenth:");
+    let taken: Result<Vec<u64>, String> = std::thread::scope(|scope| {
+        let take = &take;
+        let handles: Vec<_> = (0..takers).map(|n| scope.spawn(move || take(n))).collect();
+        for _tenth in 0..10 {
+            std::thread::sleep(Duration::from_secs_f64(for_s / 10.0));
+            rows += &format!(" {:.1}", resident_kb(pid) as f64 / 1024.0);
+        }
+        handles.into_iter().map(|h| h.join().unwrap_or_else(|_| Err("a taker panicked".to_owned()))).collect()
+    });
+    let taken: u64 = taken?.iter().sum();
+    let each_s = taken as f64 / begun.elapsed().as_secs_f64();
+    Ok(format!("{rows}\n{taken} leases granted and given back, {each_s:.0} a second, {} commands", 2 * taken))
 }
 
 fn cpu_s(pid: u32) -> f64 {
@@ -171,51 +209,24 @@
         let file = FleetFile::decode("fleet = \"cost\"\ncoordinators = 3\nworkers = 1\n")?;
         let rig = Rig::start(file, &folder.join(format!("sessions-{count}")), programs.clone())?;
         let all: Vec<SocketAddr> = rig.asked();
-        let plan = |n: usize| Plan {
-            fleet: "cost".to_owned(),
-            name: format!("s{n}"),
-            zone: "none".to_owned(),
-            coordinators: all.clone(),
-            drift: 0.1,
-            adds_up: false,
-            tasks: Vec::new(),
-        };
         wait("a leader", || {
             matches!(ask_leader(&all, "cost", &Question::Leases, Duration::ZERO), Asked::Answer(_))
         })?;
-        let start = Instant::now();
-        let now = || start.elapsed().as_secs_f64();
-        let seed = |n: usize| (n as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let new = |n| Session {
-            member: Member::new(0.0, plan(n), seed(n), seed(n)),
-            stream: None,
-            data: Vec::new(),
-        };
-        let mut sessions: Vec<Session> = (0..count).map(new).collect();
-        let linked = |s: &Session| s.member.is_linked();
-        while !sessions.iter().all(linked) {
-            for session in &mut sessions {
-                session.turn(now());
-            }
-            if start.elapsed() > PATIENCE {
+        let mut crowd = Crowd::new(count, "cost", &all, &[]);
+        while !crowd.all_linked() {
+            crowd.turn();
+            if crowd.now() > PATIENCE.as_secs_f64() {
                 return Err(format!("{count} sessions did not come up"));
             }
             std::thread::sleep(Duration::from_millis(2));
         }
-        let opened = now();
-        let leader = rig.coordinators().into_iter().find(|c| {
-            let status =
-                rig.address(c).and_then(|at| ask(at, "cost", &Question::Status, Duration::from_secs(1)).ok());
-            matches!(status, Some(Word::Answer { answer }) if answer["leads"] == true)
-        });
-        let pid = leader.and_then(|c| rig.pid(&c)).ok_or("no leader")?;
+        let opened = crowd.now();
+        let pid = leader(&rig).and_then(|c| rig.pid(&c)).ok_or("no leader")?;
         let (cpu, begun) = (cpu_of_all_threads_s(pid), Instant::now());
         let (mut up, mut down) = (0, 0);
         while begun.elapsed().as_secs_f64() < for_s {
-            for session in &mut sessions {
-                let (u, d) = session.turn(now());
-                (up, down) = (up + u, down + d);
-            }
+            let (u, d) = crowd.turn();
+            (up, down) = (up + u, down + d);
             std::thread::sleep(Duration::from_millis(5));
         }
         let took = begun.elapsed().as_secs_f64();
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Fleets: coordinators and workers with faults between them, in virtual time and as real processes.
 
 pub mod acts;
+pub mod crowd;
 pub mod measure;
 pub mod process_campaign;
 pub mod relay;
--- a/lab/src/fleet/process_campaign.rs
+++ b/lab/src/fleet/process_campaign.rs
@@ -235,6 +235,9 @@
     faults
 }
 
+/// A seed, how many faults it drew, what came of them, and the fewest that break something if anything did.
+type Life = (u64, usize, Lived, Vec<Fault>);
+
 /// Plays seed after seed for so long, several fleets side by side; `true` if nothing was found broken.
 ///
 /// # Errors
@@ -249,7 +252,7 @@
 ) -> Result<(String, bool), String> {
     let end = Instant::now() + Duration::from_secs_f64(for_s.clamp(0.0, 86_400.0));
     let next = std::sync::atomic::AtomicU64::new(from);
-    let lane = |lane: usize| -> Result<Vec<(u64, usize, Lived, Vec<Fault>)>, String> {
+    let lane = |lane: usize| -> Result<Vec<Life>, String> {
         let own = folder.join(format!("lane-{lane}"));
         let mut lives = Vec::new();
         while Instant::now() < end {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -92,10 +92,13 @@
     FleetCost {
         #[arg(long, default_value_t = 10)]
         takeovers: usize,
-        #[arg(long, value_delimiter = ',', default_value = "10,100,300,1000")]
+        #[arg(long, value_delimiter = ',', default_value = "10,100,300,1000", num_args = 0..)]
         sessions: Vec<usize>,
         #[arg(long, default_value_t = 10.0)]
         for_s: f64,
+        /// Takers of leases, for the count of grants a second; 0 for none.
+        #[arg(long, default_value_t = 32)]
+        takers: usize,
         #[arg(long, default_value = "target/fleet-cost")]
         folder: PathBuf,
         #[arg(long, default_value = "target/release")]
@@ -156,9 +159,15 @@
             println!("{text}");
             return Ok(good);
         }
-        What::FleetCost { takeovers, sessions, for_s, folder, programs } => {
+        What::FleetCost { takeovers, sessions, for_s, takers, folder, programs } => {
             let programs = Programs::beside(&programs)?;
-            println!("{}", fleet_cost::sessions(&folder, programs.clone(), &sessions, for_s)?);
+            if !sessions.is_empty() {
+                println!("{}", fleet_cost::sessions(&folder, programs.clone(), &sessions, for_s)?);
+            }
+            if takers > 0 {
+                let grants = fleet_cost::grants(&folder.join("grants"), programs.clone(), takers, for_s)?;
+                println!("{grants}");
+            }
             if takeovers == 0 {
                 return Ok(true);
             }
--- a/lab/tests/fleet/common.rs
+++ b/lab/tests/fleet/common.rs
@@ -55,16 +55,37 @@
         fleet
     }
 
+    /// With five coordinators.
+    pub fn of_five() -> Fleet {
+        let fleet = Fleet::of(&FLEET.replace("coordinators = 3", "coordinators = 5"), true);
+        fleet.wait_all(2);
+        fleet
+    }
+
+    /// With a task that none of its workers carries out.
+    pub fn wanted() -> Fleet {
+        let file = "fleet = \"story\"\ncoordinators = 3\nworkers = 1\n\
+            [[task]]\nname = \"wanted\"\nperiod_s = 1000.0\nttl_ms = 2000\nsafe = true\n";
+        let mut fleet = Fleet::of(file, true);
+        fleet.rig.kill("w1").unwrap();
+        fleet.leader();
+        fleet
+    }
+
     /// In which one coordinator understands version 1 alone.
     pub fn mixed() -> Fleet {
         Fleet::bare("older = [\"c3\"]\n", true)
     }
 
     fn bare(more: &str, fenced: bool) -> Fleet {
+        Fleet::of(&format!("{more}{FLEET}"), fenced)
+    }
+
+    fn of(file: &str, fenced: bool) -> Fleet {
         static NUMBER: AtomicU64 = AtomicU64::new(1);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("honeypost-fleet-{}-{number}", std::process::id()));
-        let file = FleetFile::decode(&format!("{more}{FLEET}")).unwrap();
+        let file = FleetFile::decode(file).unwrap();
         let rig = Rig::start_with(file, &folder, programs(), fenced).unwrap();
         Fleet { rig, folder }
     }
--- a/lab/tests/fleet/stories.rs
+++ b/lab/tests/fleet/stories.rs
@@ -1,6 +1,7 @@
 use super::common::{Fleet, TASKS};
 use honeypost::fleet::frame::Question;
 use honeypost_coordinator::ask::{ask_leader, Asked};
+use honeypost_lab::fleet::crowd::Crowd;
 use std::time::{Duration, Instant};
 
 #[test]
@@ -132,6 +133,61 @@
     fleet.judge();
 }
 
+#[test]
+fn two_of_five_full_disks_cost_nothing_and_a_third_costs_the_quorum_until_there_is_room() {
+    let mut fleet = Fleet::of_five();
+    let leader = fleet.leader();
+    let full: Vec<String> = fleet.rig.coordinators().into_iter().filter(|c| *c != leader).take(2).collect();
+    full.iter().for_each(|c| fleet.rig.fill(c, true).unwrap());
+    full.iter().for_each(|c| drop(fleet.wait_standing(c, "aside")));
+    fleet.wait_all(3);
+    fleet.rig.fill(&leader, true).unwrap();
+    fleet.wait_standing(&leader, "aside");
+    let asked = ask_leader(&fleet.rig.asked(), "story", &Question::Leases, Duration::from_millis(300));
+    assert!(matches!(asked, Asked::NoQuorum(_)), "{asked:?}");
+    fleet.all_serve();
+    // Past every time to live: what could be renewed before is over.
+    std::thread::sleep(Duration::from_millis(3500));
+    let before = fleet.rig.acts().len();
+    std::thread::sleep(Duration::from_millis(1000));
+    assert_eq!(fleet.rig.acts().len(), before, "somebody acts without a quorum");
+    // Room on one of the three is enough.
+    fleet.rig.fill(&full[0], false).unwrap();
+    fleet.wait_standing(&full[0], "member");
+    fleet.wait_all(3);
+    for name in [&full[1], &leader] {
+        fleet.rig.fill(name, false).unwrap();
+        fleet.wait_standing(name, "member");
+    }
+    fleet.judge();
+}
+
+#[test]
+fn of_three_hundred_that_want_one_lease_one_is_told_at_a_time() {
+    let fleet = Fleet::wanted();
+    let mut crowd = Crowd::new(300, "story", &fleet.rig.asked(), &["wanted"]);
+    let wait = |crowd: &mut Crowd, what: &str, so: &dyn Fn(&Crowd) -> bool| {
+        let until = Instant::now() + Duration::from_secs(40);
+        while !so(crowd) {
+            crowd.turn();
+            let holders = crowd.holders("wanted");
+            assert!(holders.len() <= 1, "{holders:?}");
+            assert!(Instant::now() < until, "{what}");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    };
+    wait(&mut crowd, "all in session", &Crowd::all_linked);
+    let mut before = None;
+    for change in 1..=3 {
+        wait(&mut crowd, "another holder", &|crowd| {
+            crowd.holders("wanted").first().is_some_and(|holder| Some(*holder) != before)
+        });
+        assert_eq!(crowd.grants(), change, "one is told, not all that wait");
+        before = crowd.holders("wanted").first().copied();
+        crowd.stop(before.unwrap());
+    }
+}
+
 #[test]
 fn coordinators_restarted_one_after_the_other_lose_nothing() {
     let mut fleet = Fleet::start();
