--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod acts;
 pub mod crowd;
+pub mod harm;
 pub mod measure;
 pub mod process_campaign;
 pub mod relay;
--- a/lab/src/fleet/rig.rs
+++ b/lab/src/fleet/rig.rs
@@ -213,6 +213,11 @@
         found.map(|r| r.address).ok_or_else(|| format!("there is no link from {from} to {to}"))
     }
 
+    /// Where this worker dials the coordinators, all of them.
+    pub fn links(&self, worker: &str) -> Vec<SocketAddr> {
+        self.coordinators().iter().filter_map(|c| self.relay(worker, c).ok()).collect()
+    }
+
     fn coordinator_file(&self, name: &str) -> Result<String, String> {
         let mut text = format!(
             "fleet = {:?}\nname = {name:?}\nfolder = {:?}\nlisten = \"127.0.0.1:0\"\nepoch = 1\nwrite_overdue_ms = {}\n",
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,9 +3,9 @@
 use clap::{Parser, Subcommand};
 use honeypost_lab::experiment::Experiment;
 use honeypost_lab::fleet::measure as fleet_cost;
-use honeypost_lab::fleet::process_campaign;
 use honeypost_lab::fleet::rig::{self, FleetFile, Programs};
 use honeypost_lab::fleet::virtual_fleet::{self, Shape};
+use honeypost_lab::fleet::{harm, process_campaign};
 use honeypost_lab::{limits, measure, sockets, virtual_time};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -104,6 +104,17 @@
         #[arg(long, default_value = "target/release")]
         programs: PathBuf,
     },
+    /// Plays the same requests to a worker with `[fleet]` and without, while its coordinators are well, dead or flapping.
+    FleetHarm {
+        #[arg(long, default_value_t = 6)]
+        seeds: u64,
+        #[arg(long, default_value_t = 6.0)]
+        length_s: f64,
+        #[arg(long, default_value = "target/fleet-harm")]
+        folder: PathBuf,
+        #[arg(long, default_value = "target/release")]
+        programs: PathBuf,
+    },
     /// Plays it in virtual time, round the worker's own core.
     Sim {
         file: PathBuf,
@@ -174,6 +185,10 @@
             println!("{}", fleet_cost::takeovers(&folder.join("takeovers"), programs, takeovers)?);
             return Ok(true);
         }
+        What::FleetHarm { seeds, length_s, folder, programs } => {
+            println!("{}", harm::compare(&folder, Programs::beside(&programs)?, seeds, length_s)?);
+            return Ok(true);
+        }
         What::Limits { seeds } => {
             println!("{}", limits::compare(seeds));
             return Ok(true);
