--- a/coordinator/src/bin/honeypost-fleet.rs
+++ b/coordinator/src/bin/honeypost-fleet.rs
@@ -37,6 +37,16 @@
     Leases,
     /// Tasks, their latest periods, and calls whose outcome nobody knows.
     Tasks,
+    /// How deep the fleet sheds, what is short of it, and who tries a service again.
+    Overload,
+    /// Sets how deep the fleet sheds, for a while or until the leader changes: tiers before TIER are let in, and SHARE of it.
+    Pin {
+        tier: usize,
+        share: f32,
+        /// For how long (seconds).
+        #[arg(long = "for", default_value_t = 60.0)]
+        for_s: f64,
+    },
     /// Puts a fresh member in the place of a coordinator that has lost its disk.
     Replace { coordinator: String },
 }
@@ -54,6 +64,10 @@
         What::Members => ask_leader(all, fleet, &Question::Members, wait),
         What::Leases => ask_leader(all, fleet, &Question::Leases, wait),
         What::Tasks => ask_leader(all, fleet, &Question::Tasks, wait),
+        What::Overload => ask_leader(all, fleet, &Question::Overload, wait),
+        What::Pin { tier, share, for_s } => {
+            ask_leader(all, fleet, &Question::Pin { tier: *tier, share: *share, for_s: *for_s }, wait)
+        }
         What::Replace { coordinator } => {
             ask_leader(all, fleet, &Question::Replace { coordinator: coordinator.clone() }, wait)
         }
--- a/coordinator/src/config.rs
+++ b/coordinator/src/config.rs
@@ -4,6 +4,7 @@
 use crate::desk::Guards;
 use crate::facts::{Task, LATEST};
 use honeypost::fleet::frame::{good_name, NAME_MOST_BYTES, TASKS_MOST};
+use honeypost::fleet::overload::leader::Settings;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -31,6 +32,23 @@
     pub coordinators: Vec<Peer>,
     #[serde(default, rename = "task")]
     pub tasks: Vec<Task>,
+    /// Overload handled by the fleet as one; the same at all coordinators.
+    pub overload: Option<Overload>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Overload {
+    /// What a worker may have in hand at the service below by itself (mean number of calls): a worker lends half of
+    /// that at most, whatever it says.
+    pub calls_part: f64,
+    /// Further tries that the fleet takes for each first one while it is short (percent).
+    #[serde(default = "default_retry_percent")]
+    pub retry_percent: f64,
+}
+
+fn default_retry_percent() -> f64 {
+    10.0
 }
 
 #[derive(Clone, Debug, Deserialize, PartialEq)]
@@ -110,6 +128,16 @@
             within(&format!("task {}.ttl_ms", task.name), task.ttl_ms, 500, 600_000)?;
             within(&format!("task {}.pause_ms", task.name), task.pause_ms, 0, 600_000)?;
         }
+        if let Some(overload) = &self.overload {
+            for (key, value, most) in [
+                ("overload.calls_part", overload.calls_part, 1e6),
+                ("overload.retry_percent", overload.retry_percent, 100.0),
+            ] {
+                if !(0.0..=most).contains(&value) {
+                    return Err(format!("{key} is {value}; expected 0 to {most}"));
+                }
+            }
+        }
         Ok(())
     }
 
@@ -128,6 +156,9 @@
             overdue_s: self.write_overdue_ms as f64 / 1000.0,
             version: self.version,
             guards: Guards::default(),
+            overload: self
+                .overload
+                .map(|o| Settings { part: o.calls_part, retry_share: o.retry_percent / 100.0 }),
         }
     }
 }
@@ -148,6 +179,7 @@
             ("ttl_ms = 3000", "ttl_ms = 3", "task totals.ttl_ms is 3; expected 500"),
             ("ttl_ms = 3000", "tll_ms = 3000", "line 26: unknown field `tll_ms`"),
             ("\"totals\"", "\"to tals\"", "task.name is \"to tals\"; expected letters"),
+            ("epoch", "overload = { calls_part = -1.0 }\nepoch", "overload.calls_part is -1; expected 0 to"),
             (
                 "[[coordinator]]\nname = \"c3\"\naddress = \"127.0.0.1:7103\"\n",
                 "",
--- a/coordinator/src/coordinator.rs
+++ b/coordinator/src/coordinator.rs
@@ -7,6 +7,9 @@
 use crate::facts::{Command, Task};
 use crate::replica::{Done, Effect, Happened, Job, Replica, Standing};
 use honeypost::fleet::frame::{self, Question, Say, Word, HEAR_MOST_BYTES, SAY_MOST_BYTES};
+use honeypost::fleet::overload::leader::{Leader, Settings as Overload};
+use honeypost::fleet::overload::level::Level;
+use honeypost::fleet::overload::TIERS_MOST;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -18,6 +21,8 @@
 const QUESTION_S: f64 = 3.0;
 /// How often a blank member asks its peers again who it is (seconds).
 const ASK_PEERS_S: f64 = 0.5;
+/// A level is pinned for so long at most (seconds): an hour that nobody thinks of any more.
+const PIN_MOST_S: f64 = 3600.0;
 /// The largest message between coordinators (bytes): a snapshot of all that the bounds allow.
 pub const PEER_MOST_BYTES: usize = 8 * 1024 * 1024;
 
@@ -34,6 +39,8 @@
     /// What this program claims to understand, at most.
     pub version: u32,
     pub guards: Guards,
+    /// `[overload]` of the file.
+    pub overload: Option<Overload>,
 }
 
 /// The first frame on a link from another coordinator. All that follows on it are the consensus library's messages.
@@ -109,7 +116,7 @@
     pub fn new(now: f64, setup: Setup, seed: u64) -> Coordinator {
         let mut coordinator = Coordinator {
             replica: Replica::new(now, seed, setup.overdue_s, setup.version),
-            desk: Desk::new(setup.guards),
+            desk: Desk::new(setup.guards, setup.overload),
             setup,
             roles: BTreeMap::new(),
             numbers: BTreeMap::new(),
@@ -279,8 +286,8 @@
                 let word = if *role == Role::Worker { self.not_leader() } else { Word::Gone };
                 self.say(link, &word);
             }
-            Say::Keep { seq, wants, held, figures, totals } => {
-                self.desk.keep(now, link, Keep { seq, wants, held, figures, totals }, facts);
+            Say::Keep { seq, wants, held, figures, totals, load } => {
+                self.desk.keep(now, link, Keep { seq, wants, held, figures, totals, load }, facts);
             }
             Say::GiveBack { held, failed, pass_on } => {
                 self.desk.give_back(now, link, held, failed, pass_on, facts);
@@ -404,6 +411,25 @@
                 json!({"epoch": facts.epoch, "tasks": tasks, "unknown": facts.doubts,
                        "unknown_in_all": facts.doubts_in_all})
             }
+            Question::Overload => match self.desk.overload() {
+                Some(leader) => overload_of(now, leader),
+                None => Value::Null,
+            },
+            Question::Pin { tier, share, for_s } => {
+                let good = (0.0..=1.0).contains(share) && (0.0..=PIN_MOST_S).contains(for_s);
+                match self.desk.overload_mut().filter(|_| good) {
+                    Some(leader) => {
+                        let level = Level { tier: (*tier).min(TIERS_MOST), share: *share };
+                        leader.pin(level, now + for_s);
+                        self.out.push(Out::Note(true, format!("overload: pinned to {level:?} for {for_s} s")));
+                        overload_of(now, leader)
+                    }
+                    None => {
+                        let why = format!("expected [overload], a share of 0 to 1, and 0 to {PIN_MOST_S} s");
+                        return self.say(link, &Word::Refused { why });
+                    }
+                }
+            }
             Question::Replace { coordinator } => match self.replica.replace(now, coordinator) {
                 Ok(member) => json!({"coordinator": coordinator, "member": member}),
                 Err(why) => return self.say(link, &Word::Refused { why }),
@@ -458,6 +484,7 @@
                     // What can't be proposed now is proposed again by whoever still wants it.
                     Act::Propose(command) => drop(self.replica.propose(now, command)),
                     Act::Confirm(number) => self.replica.confirm(now, number),
+                    Act::Note(line) => self.out.push(Out::Note(false, line)),
                 }
             }
         }
@@ -514,6 +541,28 @@
     }
 }
 
+/// How the fleet stands in overload.
+fn overload_of(now: f64, leader: &Leader) -> Value {
+    let (level, sums) = (leader.level(now), leader.sums());
+    let (lent, out) = leader.calls(now);
+    let zones: Vec<Value> = leader
+        .service()
+        .zones()
+        .map(|(zone, part, given_up, tries)| {
+            json!({"zone": zone, "calls_part": part, "given_up": given_up, "tried_by_session": tries})
+        })
+        .collect();
+    json!({
+        "level": if level.is_open() { json!("open") } else { json!({"tier": level.tier, "share": level.share}) },
+        "workers": sums.of, "age_s": (sums.age_s * 10.0).round() / 10.0,
+        "asked_per_s": sums.arrivals.iter().sum::<f64>().round(), "further_per_s": sums.further.round(),
+        "capacity_per_s": sums.capacity.round(), "calls_per_s": (sums.calls_good + sums.calls_bad).round(),
+        "call_ms": (sums.call_s * 10_000.0).round() / 10.0, "retries_pass": leader.retries().pass(),
+        "retries_saved": leader.retries().saved().round(), "calls_lent": lent, "calls_in_slices": out,
+        "zones": zones,
+    })
+}
+
 fn word_of(standing: &Standing) -> (&'static str, String) {
     match standing {
         Standing::Opening => ("opening", String::new()),
--- a/coordinator/src/desk.rs
+++ b/coordinator/src/desk.rs
@@ -10,6 +10,8 @@
 pub use crate::tenure::Guards;
 use crate::tenure::{Questions, Tenure};
 use honeypost::fleet::frame::{Counts, Ending, Held, Renewed, Totals, Word, TASKS_MOST};
+use honeypost::fleet::overload::leader::{Leader, Settings};
+use honeypost::fleet::overload::Load;
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -36,6 +38,8 @@
     Send(LinkId, Word),
     Propose(Command),
     Confirm(u64),
+    /// A line for the log.
+    Note(String),
 }
 
 /// A session as the leader sees it.
@@ -57,6 +61,9 @@
     link: LinkId,
     session: u64,
     seq: u64,
+    came: f64,
+    /// It told its load, and is told the fleet's.
+    tells: bool,
     /// With the time to live that was counted when it came: no more than that is given, whatever is in force by the
     /// time the quorum has spoken.
     held: Vec<(Held, u64)>,
@@ -72,6 +79,8 @@
     opening: BTreeMap<LinkId, (String, u64)>,
     /// How long its leases last.
     tenure: Tenure,
+    /// What it makes of the workers' load, where the coordinators' file has `[overload]`.
+    overload: Option<(Settings, Leader)>,
     /// By token: leases that wait for a successor, from which session, and until when.
     passing: BTreeMap<u64, (Held, u64, f64)>,
     /// By task: since when, and to which session.
@@ -85,14 +94,15 @@
 }
 
 impl Desk {
-    pub fn new(guards: Guards) -> Desk {
-        Desk::fresh(guards, 1)
+    pub fn new(guards: Guards, overload: Option<Settings>) -> Desk {
+        Desk::fresh(guards, 1, overload.map(|settings| (settings, Leader::lead(0.0, settings))))
     }
 
     /// Nothing but the numbers of questions goes on from one tenure to the next.
-    fn fresh(guards: Guards, next_question: u64) -> Desk {
+    fn fresh(guards: Guards, next_question: u64, overload: Option<(Settings, Leader)>) -> Desk {
         Desk {
             guards,
+            overload,
             leads: false,
             sessions: BTreeMap::new(),
             links: BTreeMap::new(),
@@ -114,7 +124,8 @@
 
     /// This member leads from now on. What was before may have granted anything up to now.
     pub fn lead(&mut self, now: f64, facts: &Facts) {
-        *self = Desk::fresh(self.guards, self.renewals.next());
+        let overload = self.overload.take().map(|(settings, _)| (settings, Leader::lead(now, settings)));
+        *self = Desk::fresh(self.guards, self.renewals.next(), overload);
         self.leads = true;
         self.tenure = Tenure::lead(self.guards, now, facts.leases.values());
         for id in facts.sessions.keys() {
@@ -126,7 +137,7 @@
     /// It leads no more: nothing that waits will be granted here. Links that it served.
     pub fn follow(&mut self) -> Vec<LinkId> {
         let links = self.links.keys().chain(self.opening.keys()).copied().collect();
-        *self = Desk::fresh(self.guards, self.renewals.next());
+        *self = Desk::fresh(self.guards, self.renewals.next(), self.overload.take());
         links
     }
 
@@ -193,7 +204,12 @@
             let ttl_ms = own.map_or(0, |lease| self.tenure.came(now, lease));
             counted.push((one, ttl_ms));
         }
-        self.renewals.came(Renewal { link, session, seq: keep.seq, held: counted });
+        if let (Some(load), Some((_, overload))) = (&keep.load, &mut self.overload) {
+            let zone = facts.sessions.get(&session).map_or("", |s| s.zone.as_str());
+            overload.heard(now, session, zone, load);
+        }
+        let (seq, tells) = (keep.seq, keep.load.is_some());
+        self.renewals.came(Renewal { link, session, seq, came: now, tells, held: counted });
     }
 
     /// Asks for the quorum's word for all renewals that have come since it was asked last.
@@ -239,7 +255,11 @@
             .totals
             .clone()
             .map(|(totals, at)| Totals { age_ms: totals.age_ms + ((now - at) * 1000.0) as u64, ..totals });
-        self.acts.push(Act::Send(renewal.link, Word::Kept { seq: renewal.seq, leases, totals, figures }));
+        let zone = facts.sessions.get(&renewal.session).map_or("", |s| s.zone.as_str());
+        let digest = |o: &mut Leader| o.digest(now, renewal.came, renewal.session, zone);
+        let overload = self.overload.as_mut().filter(|_| renewal.tells).map(|(_, o)| digest(o));
+        let word = Word::Kept { seq: renewal.seq, leases, totals, figures, overload };
+        self.acts.push(Act::Send(renewal.link, word));
     }
 
     /// A holder has stopped acting under this lease.
@@ -323,6 +343,7 @@
         match (&entry.command, result) {
             (Command::Open { name, process, .. }, result) => self.opened(now, name, *process, result),
             (Command::Close { session }, Ok(_)) => {
+                self.overload.iter_mut().for_each(|(_, overload)| overload.gone(*session));
                 if let Some(link) = self.sessions.remove(session).and_then(|live| live.link) {
                     self.links.remove(&link);
                 }
@@ -423,6 +444,9 @@
         self.ask(now, facts);
         self.pass_on(now, facts);
         self.note_pauses(now, facts);
+        if let Some((_, overload)) = &mut self.overload {
+            self.acts.extend(overload.look(now).into_iter().map(Act::Note));
+        }
         self.free_silent(now, facts);
         self.grant_free(now, facts);
     }
@@ -477,6 +501,16 @@
         }
     }
 
+    /// What the leader makes of the workers' load, for operators.
+    pub fn overload(&self) -> Option<&Leader> {
+        self.overload.as_ref().map(|(_, leader)| leader)
+    }
+
+    /// The same, for what operators set.
+    pub fn overload_mut(&mut self) -> Option<&mut Leader> {
+        self.overload.as_mut().map(|(_, leader)| leader)
+    }
+
     /// The leases and who waits, for operators.
     pub fn waiting(&self, task: &str) -> usize {
         self.sessions.values().filter(|l| l.wants.contains_key(task)).count()
@@ -520,6 +554,7 @@
     pub held: Vec<Held>,
     pub figures: Option<Counts>,
     pub totals: Option<Totals>,
+    pub load: Option<Load>,
 }
 
 #[cfg(test)]
@@ -539,7 +574,7 @@
         apply(&mut facts, tasks(1, 1000));
         apply(&mut facts, Command::Open { name: "w".into(), zone: "z".into(), process: 1, version: 2 });
         apply(&mut facts, Command::Grant { task: "t".into(), session: 1 });
-        let mut desk = Desk::new(Guards::default());
+        let mut desk = Desk::new(Guards::default(), None);
         desk.lead(0.0, &facts);
         desk.hello(0.0, 5, Hello { name: "w".into(), zone: "z".into(), process: 1, version: 2 }, &facts);
         let held = vec![Held { task: "t".into(), token: 1 }];
@@ -549,7 +584,7 @@
         apply(&mut facts, tasks(2, 9000));
         desk.confirmed(1.1, 1, &facts);
         let leases = vec![Renewed { held: held[0].clone(), ttl_ms: 1000 }];
-        let kept = Word::Kept { seq: 1, leases, totals: None, figures: Vec::new() };
+        let kept = Word::Kept { seq: 1, leases, totals: None, figures: Vec::new(), overload: None };
         assert_eq!(desk.take_acts().pop(), Some(Act::Send(5, kept)));
         assert!(desk.left(1.1, 1) <= 1.0);
     }
@@ -565,7 +600,7 @@
         let held = Held { task: "t".into(), token: 1 };
         apply(&mut facts, 500, Command::Free { held, why: Why::Failed });
         // This leader's clock began long before the log's.
-        let mut desk = Desk::new(Guards::default());
+        let mut desk = Desk::new(Guards::default(), None);
         desk.lead(900.0, &facts);
         desk.hello(900.0, 5, Hello { name: "w".into(), zone: "z".into(), process: 1, version: 2 }, &facts);
         let grant = Act::Propose(Command::Grant { task: "t".into(), session: 1 });
--- a/coordinator/tests/disk.rs
+++ b/coordinator/tests/disk.rs
@@ -34,6 +34,7 @@
             overdue_s: OVERDUE_S,
             version: LATEST,
             guards: Guards::default(),
+            overload: None,
         };
         let mut site = Site {
             now: 0.0,
--- a/lab/src/fleet/crowd.rs
+++ b/lab/src/fleet/crowd.rs
@@ -41,6 +41,7 @@
             drift: 0.1,
             adds_up: false,
             tasks: wants.iter().map(schedule).collect(),
+            overload: None,
         };
         let seed = |n: usize| (n as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let new = |n| Session {
--- a/lab/src/fleet/measure.rs
+++ b/lab/src/fleet/measure.rs
@@ -157,7 +157,14 @@
         let mut taken = 0;
         while begun.elapsed().as_secs_f64() < for_s {
             let wants = vec![format!("t{n}")];
-            taker.say(&Say::Keep { seq: taken + 1, wants, held: Vec::new(), figures: None, totals: None })?;
+            taker.say(&Say::Keep {
+                seq: taken + 1,
+                wants,
+                held: Vec::new(),
+                figures: None,
+                totals: None,
+                load: None,
+            })?;
             let held = taker.until(|w| match w {
                 Word::Granted { held } => Some(held.clone()),
                 _ => None,
--- a/lab/src/fleet/virtual_fleet.rs
+++ b/lab/src/fleet/virtual_fleet.rs
@@ -473,6 +473,7 @@
                 whole_ttl: self.shape.weak != Weakness::NoWholeTtl,
                 confirm: self.shape.weak != Weakness::NoConfirm,
             },
+            overload: None,
         }
     }
 
@@ -532,6 +533,7 @@
             drift,
             adds_up: false,
             tasks: (0..self.shape.tasks).map(schedule).collect(),
+            overload: None,
         };
         let (rate, process, seed) = (self.rate(), self.rng.random(), self.rng.random());
         let now = self.now;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,10 +4,8 @@
 //! non-empty tier, which runs to its end. A lower-tier arrival is refused at once while the total held
 //! reaches j or what is held above it reaches k. Where this departs, the comment says what trouble it is for.
 
-use crate::interface::{
-    Action, Arrival, Class, Dependency, Effect, Event, Gauges, Halting, Learned, Outcome, PoolPlan,
-    RequestId, Settings, Signal, Traffic,
-};
+use crate::fleet::overload::local::Overload;
+use crate::interface::*;
 use crate::pools::{Place, Pools};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -240,12 +238,6 @@
             self.sick = true;
         }
     }
-    fn nothing_ended(&mut self, now: f64, length: f64) {
-        let lasts = now - self.last_end;
-        if lasts > SICK_STUCK_S && self.stuck > SICK_STUCK * length {
-            (self.sick, self.good_in_row) = (true, 0);
-        }
-    }
 }
 
 /// The bound on calls in hand. The certain share is only a ceiling: a dependency slows down long before it
@@ -352,7 +344,8 @@
     well: bool,
     fit: bool,
     /// Where an operator set up pools they say which class may start, and how many runs there are.
-    pools: Option<Pools>,
+    pub(crate) pools: Option<Pools>,
+    pub(crate) overload: Option<Overload>, // What the fleet sheds as one, and calls that it lends.
     /// Of a process that leaves its place to this one: runs on the cores, calls in hand, memory.
     beside: (usize, usize, f64),
 }
@@ -369,6 +362,7 @@
         let mut controller = Controller {
             now,
             born: now,
+            overload: set.overload.then(|| Overload::new(now, &set)),
             hold: vec![BTreeSet::new(); worths.len()],
             parked: vec![BTreeSet::new(); worths.len()],
             pace: set.classes.iter().map(|c| Pace::new(c.aim_s * PRIOR_OF_AIM, c)).collect(),
@@ -426,9 +420,9 @@
         self.start(out);
     }
 
-    /// The pools, for what shows their state.
-    pub fn pools(&self) -> Option<&Pools> {
-        self.pools.as_ref()
+    /// Requests that no later event or action of this controller will name.
+    pub fn take_released(&mut self) -> Vec<RequestId> {
+        std::mem::take(&mut self.released)
     }
 
     /// What a successor on this machine should know.
@@ -456,11 +450,6 @@
         (self.further, self.sickness.failed, self.sickness.ended) = l.traffic.lately;
     }
 
-    /// Requests that no later event or action of this controller will name.
-    pub fn take_released(&mut self) -> Vec<RequestId> {
-        std::mem::take(&mut self.released)
-    }
-
     /// Takes up other pools, or none. Runs and what is held stay as they are.
     fn set_pools(&mut self, plan: Option<PoolPlan>) {
         let Some(plan) = plan else { return self.pools = None };
@@ -479,9 +468,10 @@
         self.pools.iter_mut().for_each(|pools| pools.advance(dt));
         self.pace.iter_mut().zip(&self.on_cores).for_each(|(pace, n)| pace.advance(*n as f64, dt));
         self.call_bound.advance(self.calling as f64, dt);
+        let (used, bound) = (self.calling + self.lingering.len(), &mut self.call_bound);
+        self.overload.iter_mut().for_each(|o| o.bound_calls(now, used, &mut bound.top, &mut bound.room));
         if let Some(dep) = &self.set.dependency {
-            let used = (self.calling + self.lingering.len()) as f64;
-            let saved = self.call_bound.budget + (self.call_bound.room - used) * dt;
+            let saved = self.call_bound.budget + (self.call_bound.room - used as f64) * dt;
             self.call_bound.budget = saved.min(dep.share * CALL_BURST * dep.window_s);
         }
         let fade = (-dt / MEASURE_S).exp();
@@ -532,10 +522,6 @@
         self.on_cores.iter().sum::<usize>() + self.beside.0
     }
 
-    fn parked(&self) -> usize {
-        self.parked.iter().map(BTreeSet::len).sum()
-    }
-
     fn memory(&self) -> f64 {
         self.held_kb + self.run_kb + self.entries.len() as f64 * self.set.entry_kb + self.beside.2
     }
@@ -576,6 +562,7 @@
         self.sickness.has_read(a.unread_s, class.aim_s);
         self.further += f64::from(u8::from(a.retry)) / MEASURE_S;
         self.inflow[tier] += 1.0 / MEASURE_S;
+        self.overload.iter_mut().for_each(|o| o.arrived(tier, a.retry));
         self.requests.insert(a.id, request);
         // After the grace nothing starts, and an answer might not come in time; what may have run is failed.
         if too_late && a.repeats.is_some() {
@@ -584,7 +571,7 @@
         if class.effect == Effect::Keyed && self.repeat(&a, out) {
             return self.make_room(out);
         }
-        if too_late || self.must_refuse(a.id) {
+        if too_late || self.must_refuse(a.id, a.retry) {
             return self.refuse(a.id, out);
         }
         if class.effect == Effect::Keyed {
@@ -642,17 +629,18 @@
 
     /// j and k stand for waiting time: what can be started in the time that the aim leaves, with the capacity
     /// that tiers above leave over. Work parked at a call counts as held, or it would be hidden.
-    fn must_refuse(&self, id: RequestId) -> bool {
+    fn must_refuse(&self, id: RequestId, retry: bool) -> bool {
         let Some(r) = self.requests.get(&id) else { return true };
-        let (calls, jammed) = (self.class(r.class).calls, self.call_jam(r.tier));
+        let (class, jammed) = (self.class(r.class), self.call_jam(r.tier));
         // While the dependency is the bottleneck, what waits for it does not stand in the way of the rest.
         let counts = |id: &&RequestId| {
-            (!jammed || calls || !self.class(self.requests[*id].class).calls) && self.beside(id, r.class)
+            (!jammed || class.calls || !self.class(self.requests[*id].class).calls)
+                && self.beside(id, r.class)
         };
         let waiting = |upto: usize| self.hold[..upto].iter().flatten().filter(counts).count();
         let near = self.worths.iter().filter(|w| **w >= self.worths[r.tier] * TOTAL_WORTH).count();
         let parked = self.parked.iter().flatten().filter(|id| self.beside(id, r.class));
-        let held = waiting(near) + if calls || !jammed { parked.count() } else { 0 };
+        let held = waiting(near) + if class.calls || !jammed { parked.count() } else { 0 };
         let above = waiting(r.tier);
         let free = match &self.pools {
             Some(pools) => pools.open(r.class),
@@ -660,10 +648,12 @@
         };
         let pace = &self.pace[r.class];
         let spare = r.aim_at - self.now - pace.plan(r.hint) * RUN_ALLOWANCE;
-        let wait = self.call_wait(r.tier);
+        let coming = |id: &&RequestId| self.class(self.requests[*id].class).calls;
+        let wait = self.call_wait(r.tier, self.hold[..=r.tier].iter().flatten().filter(coming).count());
         let within = if wait > 0.0 { spare } else { r.aim_at - self.now };
-        let needs = calls && self.class(r.class).skipped_worth <= 0.0;
-        let no_call = needs && wait + self.call_bound.length() > within;
+        let needs = class.calls && class.skipped_worth <= 0.0;
+        let none = self.overload.as_ref().is_some_and(|o| o.gives_up_call(class.is_safe()));
+        let no_call = needs && (none || wait + self.call_bound.length() > within);
         let rate = self.capacity(r.class);
         let before: f64 = self.inflow[..r.tier].iter().sum();
         let left = if self.pools.is_some() { POOL_WAIT } else { (1.0 - before / rate).max(0.1) };
@@ -674,7 +664,8 @@
         // The top tier is refused too when even it could not end in time: sooner said than failed late.
         let total = if r.tier == 0 { waiting(1) } else { held };
         let full = self.pools.as_ref().is_some_and(|pools| pools.full(r.class));
-        no_call || full || !free && (total as f64 >= j || above as f64 >= k)
+        let shed = self.overload.as_ref().is_some_and(|o| o.sheds(r.tier, retry, free));
+        no_call || full || shed || !free && (total as f64 >= j || above as f64 >= k)
     }
 
     /// How long to stay away: half the time that what is held takes to start; the longest while not well. In
@@ -687,7 +678,7 @@
         let half = (ahead as f64 / self.capacity(class) / 2.0).max(4.0 * SWEEP_S);
         let least = if self.fleet_full() && next < most * COME_BACK { next } else { 0.0 };
         let away = if self.well { half.max(least) } else { most };
-        away.min(most)
+        self.overload.as_ref().map_or(away, |o| o.stay_away_s(tier, away)).min(most)
     }
 
     /// Sick: what has not run may still be served elsewhere; one safe request at a time is kept to try. In a
@@ -696,7 +687,7 @@
         let useful = self.fleet_full() && self.sickness.ended > f64::from(PROBES_GOOD);
         let held = self.hold.iter().flatten().filter(|_| self.sickness.sick);
         for id in held.copied().collect::<Vec<RequestId>>() {
-            let safe = self.class(self.requests[&id].class).effect == Effect::Safe;
+            let safe = self.class(self.requests[&id].class).is_safe();
             if safe && (useful || self.now >= self.sickness.next_probe) {
                 self.sickness.next_probe = self.now + PROBE_S;
             } else {
@@ -712,7 +703,8 @@
         let (seen, cores) = (self.inflow.iter().sum::<f64>(), f64::from(self.set.cores.max(1)));
         let marked = seen * MEASURE_S > cores && self.further > FLEET_FULL * seen;
         let flood = seen * self.usual > FLOOD * cores;
-        self.leave.is_none() && if self.set.marks_retries { marked } else { flood }
+        let told = self.overload.as_ref().and_then(Overload::fleet_full);
+        self.leave.is_none() && told.unwrap_or(if self.set.marks_retries { marked } else { flood })
     }
 
     /// Memory: what waits goes, the lowest and newest first, repeats too: a flood of them would fill it.
@@ -841,9 +833,9 @@
         self.shift(id, Some(Stage::AtCall));
         // What would wait in vain goes on at once: the cores may be idle while the dependency is slow.
         let Some(r) = self.requests.get(&id) else { return };
-        let before = self.parked[..=r.tier].iter().map(BTreeSet::len).sum::<usize>() as f64;
-        let ready_at = self.now + before * self.call_bound.length() / self.call_bound.room;
-        if !r.settled && ready_at > self.last_call(r) {
+        let ready_at = self.now + self.call_wait(r.tier, 0);
+        let none = self.overload.as_ref().is_some_and(|o| o.gives_up_call(self.class(r.class).is_safe()));
+        if !r.settled && (none || ready_at > self.last_call(r)) {
             self.leave_call_out(id, out);
         }
     }
@@ -852,12 +844,13 @@
         let Some(r) = self.requests.get(&id).filter(|r| r.stage == Stage::Calling) else { return };
         // A call is repeated only if that is safe or the earlier one never ran. What can do without it
         // does not wait for a dependency that is down: it would stand there until nobody waits.
-        let unseen = matches!(outcome, Outcome::Full | Outcome::Unreachable);
+        let (unseen, took) = (matches!(outcome, Outcome::Full | Outcome::Unreachable), self.now - r.since);
         let again = unseen || self.class(r.class).effect == Effect::Safe;
         let down = outcome == Outcome::Unreachable && self.class(r.class).skipped_worth > 0.0;
         let hopeful = !r.settled && !down && r.ends - self.now > self.call_bound.length();
         let given_up = self.set.dependency.iter().filter(|_| outcome == Outcome::TimedOut);
         self.lingering.extend(given_up.map(|d| self.now + d.linger_s));
+        self.overload.iter_mut().for_each(|o| o.call_ended(outcome == Outcome::Ok, took));
         if unseen {
             self.call_bound.turned_away(self.now);
         } else {
@@ -886,7 +879,7 @@
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id).filter(|r| !r.settled) else { return };
         let (waits, stay_away_s) = (r.stage <= Stage::Sharing, self.advice(r.tier, r.class));
-        let safe = !waits && self.class(r.class).effect == Effect::Safe;
+        let safe = !waits && self.class(r.class).is_safe();
         out.push(if safe { Action::Refuse { id, stay_away_s, no_other: true } } else { Action::Fail(id) });
         self.stop_run(id, out);
         if waits {
@@ -899,7 +892,7 @@
     fn stop_run(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.settled = true;
-        let safe = self.set.classes[r.class].effect == Effect::Safe;
+        let safe = self.set.classes[r.class].is_safe();
         if safe && r.stage == Stage::Running && self.set.halting != Halting::Never {
             out.push(Action::Halt(id));
         }
@@ -910,11 +903,9 @@
         self.parked[..=tier].iter().flatten().count() as f64 >= self.call_bound.room.max(1.0)
     }
 
-    /// The wait for a call of this tier, behind what stands at one and what is held to come.
-    fn call_wait(&self, tier: Tier) -> f64 {
-        let coming = |id: &&RequestId| self.class(self.requests[*id].class).calls;
-        let before = self.parked[..=tier].iter().flatten().count()
-            + self.hold[..=tier].iter().flatten().filter(coming).count();
+    /// The wait for a call of this tier, behind what stands at one and so many that are to come.
+    fn call_wait(&self, tier: Tier, coming: usize) -> f64 {
+        let before = self.parked[..=tier].iter().flatten().count() + coming;
         before as f64 * self.call_bound.length() / self.call_bound.room
     }
 
@@ -934,10 +925,11 @@
         let (room, most) = (self.call_bound.room.max(1.0) as usize, self.call_bound.top.max(1.0) as usize);
         let beside = self.beside.1;
         while open && self.calling + beside < room && self.calling + beside + self.lingering.len() < most {
-            let next = self.parked.iter().flatten().find(|id| !self.requests[id].settled);
-            let Some(&id) = next else { return };
+            let may = |c: &Class| self.overload.as_ref().map_or(true, |o| o.may_call(c.is_safe()));
+            let mut next = self.parked.iter().flatten().map(|id| (*id, &self.requests[id]));
+            let Some((id, r)) = next.find(|(_, r)| !r.settled && may(self.class(r.class))) else { return };
             // One that never answers must not hold its slot, nor what can go on without, until nobody waits.
-            let (r, bound, length) = (&self.requests[&id], &self.call_bound, self.call_bound.length());
+            let (bound, length) = (&self.call_bound, self.call_bound.length());
             let (class, last) = (self.class(r.class), self.last_call(r));
             let part = if bound.shortest.is_finite() { CALL_PATIENCE_OF_AIM } else { f64::INFINITY };
             let lengths = CALL_PATIENCE * if class.effect == Effect::Safe { 1.0 } else { 2.0 };
@@ -954,6 +946,7 @@
             }
             if until_s > self.now && last > self.now {
                 out.push(Action::Call { id, until_s });
+                self.overload.iter_mut().for_each(Overload::called);
                 self.shift(id, Some(Stage::Calling));
             } else {
                 self.leave_call_out(id, out);
@@ -973,7 +966,7 @@
                 self.refuse(id, out);
                 continue;
             }
-            let crowd = self.running() + self.calling + self.parked();
+            let crowd = self.running() + self.calling + self.parked.iter().flatten().count();
             let (more, entry_id) = (r.kb * (self.set.run_factor - 1.0).max(0.0), r.entry);
             if crowd >= self.crowd_limit() || self.memory() + more > self.set.memory_kb * MEMORY_TOP {
                 return;
@@ -1032,7 +1025,12 @@
         let gone: Vec<RequestId> = self.entries.iter().filter(|(_, e)| over(e)).map(|(id, _)| *id).collect();
         gone.into_iter().for_each(|id| self.drop_entry(id));
         self.call_bound.look(self.parked.iter().any(|q| !q.is_empty()));
-        self.sickness.nothing_ended(self.now, self.run_length());
+        let (length, parked) = (self.run_length(), self.parked.iter().map(BTreeSet::len).zip(&self.worths));
+        self.overload.iter_mut().for_each(|o| o.stands(self.limit.runs as f64 / length, parked.clone()));
+        let s = &mut self.sickness;
+        if self.now - s.last_end > SICK_STUCK_S && s.stuck > SICK_STUCK * length {
+            (s.sick, s.good_in_row) = (true, 0);
+        }
         // A core is free: nothing lies unread. Off the list, without arrivals, it would not be learnt else.
         if gauges.runnable.is_some_and(|n| n < f64::from(self.set.cores)) {
             (self.sickness.unread, self.sickness.swamped) = (0.0, false);
--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -23,6 +23,15 @@
     pub totals: bool,
     #[serde(default, rename = "task")]
     pub tasks: Vec<TaskSettings>,
+    /// Takes part in handling overload as one.
+    pub overload: Option<OverloadSettings>,
+}
+
+/// What the fleet decides of it stands in the coordinators' file, the same for all workers.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct OverloadSettings {
+    pub on: bool,
 }
 
 /// A call that one worker makes for all, once a period.
@@ -99,7 +108,12 @@
         Ok(())
     }
 
-    /// What the decisions need of it.
+    /// Whether it takes part in handling overload as one.
+    pub fn overload(&self) -> bool {
+        self.overload.as_ref().is_some_and(|o| o.on)
+    }
+
+    /// What the decisions need of it; the part of the calls below comes from the platform's settings.
     pub fn plan(&self, config: &Config) -> Plan {
         Plan {
             fleet: self.name.clone(),
@@ -109,6 +123,7 @@
             drift: self.drift_percent / 100.0,
             adds_up: self.totals,
             tasks: self.tasks.iter().map(TaskSettings::schedule).collect(),
+            overload: None,
         }
     }
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -162,6 +162,7 @@
             classes: o.profiles.iter().enumerate().map(class).collect(),
             tenants: o.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
             pools: None,
+            overload: false,
         }
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 mod lending;
 
 use crate::brain::Controller;
+use crate::fleet::overload::local::Overload;
 use crate::handover::Doubt;
 use crate::interface::{
     Action, Arrival, Class, Effect, Event, Gauges, Learned, Outcome, PoolPlan, RequestId, Settings,
@@ -265,7 +266,17 @@
 
     /// The state of the class pools, where there are any.
     pub fn pools(&self) -> Option<PoolsState> {
-        self.controller.pools().map(Pools::state)
+        self.controller.pools.as_ref().map(Pools::state)
+    }
+
+    /// The fleet's part in overload, where there is one: what tells it of the fleet, and the fleet of this worker.
+    pub fn overload(&mut self) -> Option<&mut Overload> {
+        self.controller.overload.as_mut()
+    }
+
+    /// What operators read of it: names and values.
+    pub fn overload_figures(&self) -> Vec<(&'static str, String)> {
+        self.controller.overload.as_ref().map(Overload::figures).unwrap_or_default()
     }
 
     /// How requests have ended so far, by class.
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -2,6 +2,7 @@
 //! JSON. Kinds and keys that are not known are passed over, so that two versions can speak; [`VERSION`] says what a
 //! program understands beyond that. Operators' commands use the same door.
 
+use super::overload::{Digest, Load};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -81,6 +82,9 @@
         figures: Option<Counts>,
         #[serde(default, skip_serializing_if = "Option::is_none")]
         totals: Option<Totals>,
+        /// Where the fleet handles overload as one.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        load: Option<Load>,
     },
     /// The worker has stopped acting under this lease. `pass_on` gives it to the newest process of the same name.
     GiveBack {
@@ -123,6 +127,14 @@
     Members,
     Leases,
     Tasks,
+    /// How the fleet stands in overload: the level, what is short, and who tries it again.
+    Overload,
+    /// Sets how deep the fleet sheds, for so long.
+    Pin {
+        tier: usize,
+        share: f32,
+        for_s: f64,
+    },
     /// Puts a fresh member in the place of a coordinator that has lost its disk.
     Replace {
         coordinator: String,
@@ -153,6 +165,8 @@
         /// For whoever adds up the fleet's figures: each worker's, with their age in milliseconds.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         figures: Vec<(u64, Counts)>,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        overload: Option<Digest>,
     },
     /// The lease is this worker's from its next renewal on.
     Granted {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,11 +7,14 @@
 
 pub mod frame;
 pub mod holder;
+pub mod overload;
 pub mod session;
 pub mod tasks;
 
 use frame::{Counts, Ending, Held, Say, Totals, Word, VERSION};
 use holder::Holder;
+use overload::member::{Advice, Numbers, Side};
+use overload::TELL_S;
 use session::{Session, Step};
 use std::net::SocketAddr;
 use tasks::{Answered, Order, Schedule, Scheduled};
@@ -33,6 +36,9 @@
     /// Whether this worker would add up the fleet's figures.
     pub adds_up: bool,
     pub tasks: Vec<Schedule>,
+    /// Where the fleet handles overload as one: what this worker may have in hand at the service below by itself (mean
+    /// number of calls).
+    pub overload: Option<f64>,
 }
 
 /// What is to be done.
@@ -61,6 +67,9 @@
     totals: Option<(Totals, f64)>,
     /// What it has added up and not yet sent.
     sum: Option<Totals>,
+    overload: Option<Side>,
+    /// What is to be told with the next sign of life.
+    numbers: Option<Numbers>,
     acts: Vec<Act>,
 }
 
@@ -85,6 +94,8 @@
             figures_at: f64::NEG_INFINITY,
             totals: None,
             sum: None,
+            overload: plan.overload.map(|part| Side::new(now, part, plan.drift)),
+            numbers: None,
             acts: Vec::new(),
             plan,
         }
@@ -129,7 +140,9 @@
     }
 
     fn keep(&mut self, now: f64, figures: impl FnOnce() -> Counts) {
+        let tells_s = if self.overload.is_some() { TELL_S } else { f64::INFINITY };
         let every_s = self.holder.renew_every().unwrap_or(f64::INFINITY).min(self.session.keep_every_s);
+        let every_s = every_s.min(tells_s);
         let seq = self.session.keep(now, every_s);
         let wants = if self.takes && !self.leaving { self.wants() } else { Vec::new() };
         let due = now - self.figures_at >= FIGURES_S;
@@ -137,15 +150,33 @@
             self.figures_at = now;
         }
         let held = self.holder.ask(now, seq);
+        let numbers = self.numbers.take();
+        let load = self.overload.as_mut().zip(numbers).map(|(side, n)| side.report(now, seq, &n));
         self.acts.push(Act::Send(Say::Keep {
             seq,
             wants,
             held,
             figures: due.then(figures).filter(|f| !f.is_empty()),
             totals: self.sum.take(),
+            load,
         }));
     }
 
+    /// Whether a sign of life is due with which this worker tells its load: [`Member::tell`] comes before the tick then.
+    pub fn tells(&self, now: f64) -> bool {
+        self.overload.is_some() && self.session.keep_due(now)
+    }
+
+    /// What this worker's decision module has counted since it was asked last.
+    pub fn tell(&mut self, numbers: Numbers) {
+        self.numbers = Some(numbers);
+    }
+
+    /// What the decision module may go by now, on the same clock.
+    pub fn advice(&self, now: f64) -> Option<Advice> {
+        self.overload.as_ref().map(|side| side.advice(now))
+    }
+
     fn wants(&self) -> Vec<String> {
         let own = self.tasks.iter().map(|t| t.schedule.name.clone());
         own.chain(self.plan.adds_up.then(|| TOTALS.to_owned())).collect()
@@ -179,6 +210,7 @@
                 let at = at.map_or_else(String::new, |a| a.to_string());
                 self.acts.push(Act::Log(format!("fleet: session {session} over {at}")));
                 self.holder.relinked();
+                self.overload.iter_mut().for_each(Side::relinked);
                 for task in &mut self.tasks {
                     self.acts.extend(task.relinked(now).map(Act::Send));
                 }
@@ -187,7 +219,10 @@
                 self.acts.push(Act::Log(format!("fleet: the coordinator does not lead any more: {why}")));
             }
             Word::Refused { why } => self.acts.push(Act::Log(format!("fleet: refused: {why}"))),
-            Word::Kept { seq, leases, totals, figures } => {
+            Word::Kept { seq, leases, totals, figures, overload } => {
+                if let (Some(side), Some(digest)) = (&mut self.overload, overload) {
+                    side.heard(*seq, digest);
+                }
                 for lost in self.holder.kept(*seq, leases) {
                     self.acts.push(Act::Log(format!("fleet: {} is lost, token {}", lost.task, lost.token)));
                 }
--- /dev/null
+++ b/src/fleet/overload/local.rs
@@ -0,0 +1,334 @@
+//! What the decision module asks while the fleet handles overload as one. It counts what its worker does for the reports, and
+//! holds the latest advice until that is too old; without advice every answer is the one that a worker alone gives.
+//!
+//! Owed to callers: it only ever adds refusals to those of the module, and none while the worker could start the request at
+//! once, but for further tries while the service below is short; what it may have in hand below is never more than
+//! its part, less what is lent, and its slice.
+
+use super::member::{Advice, Numbers};
+use super::{dice, TIERS_MOST};
+use crate::interface::Settings;
+use std::cell::Cell;
+
+/// A worker that tries a given up service again makes one call in so long (seconds): two a second a zone.
+const TRIAL_EVERY_S: f64 = 0.5;
+/// Of its part a worker lends what it has not had in hand lately, less this much of it and one call.
+const SPARE_MARGIN: f64 = 0.25;
+/// How fast the most that was in hand is forgotten (seconds).
+const PEAK_S: f64 = 3.0;
+/// Returns are spread from half to one and a half of what is told, and a tier further down waits for longer by this share.
+const SPREAD_TIER: f64 = 0.25;
+
+#[derive(Clone, Debug)]
+pub struct Overload {
+    seed: u64,
+    drawn: Cell<u64>,
+    now: f64,
+    /// Its part of the calls below (mean number in hand); infinite where there is no service below.
+    own: f64,
+    advice: Option<Advice>,
+    told: f64,
+    arrivals: [u64; TIERS_MOST],
+    further: u64,
+    calls_good: u64,
+    calls_bad: u64,
+    call_time: f64,
+    capacity: f64,
+    waiting: (f64, f64),
+    peak: f64,
+    trial_at: f64,
+}
+
+impl Overload {
+    /// For a worker that starts now.
+    pub fn new(now: f64, settings: &Settings) -> Overload {
+        let (seed, own) = (settings.seed, settings.dependency.as_ref().map_or(f64::INFINITY, |d| d.share));
+        Overload {
+            seed,
+            drawn: Cell::new(0),
+            now,
+            own,
+            advice: None,
+            told: now,
+            arrivals: [0; TIERS_MOST],
+            further: 0,
+            calls_good: 0,
+            calls_bad: 0,
+            call_time: 0.0,
+            capacity: 0.0,
+            waiting: (0.0, 0.0),
+            peak: own.min(1e6),
+            trial_at: f64::NEG_INFINITY,
+        }
+    }
+
+    fn draw(&self) -> f64 {
+        self.drawn.set(self.drawn.get() + 1);
+        dice(self.seed, self.drawn.get())
+    }
+
+    /// What the worker's session makes of the latest digest, on the module's clock.
+    pub fn advise(&mut self, advice: Advice) {
+        self.advice = Some(advice);
+    }
+
+    /// The advice, while it is fresh.
+    fn fresh(&self) -> Option<&Advice> {
+        self.advice.as_ref().filter(|a| self.now < a.until)
+    }
+
+    /// Time passes, and so does the bound on calls in hand. `top` and `room` are the module's: the first is set, and the
+    /// second is held under it; what it has more of it takes up by its own steps.
+    pub fn bound_calls(&mut self, now: f64, in_hand: usize, top: &mut f64, room: &mut f64) {
+        let fade = (-(now - self.now).max(0.0) / PEAK_S).exp();
+        self.peak = (self.peak * fade).max(in_hand as f64);
+        self.now = self.now.max(now);
+        // A part under one call is kept in the mean by the module; there is nothing of it to lend.
+        if self.own < 1.0 || !self.own.is_finite() {
+            return;
+        }
+        let Some(advice) = &self.advice else { return };
+        let slice = if now < advice.slice_until { f64::from(advice.digest.slice) } else { 0.0 };
+        let part = self.fresh().map_or(1.0, |a| f64::from(a.digest.part));
+        let next = ((self.own - advice.lent + slice) * part).max(self.own.min(1.0));
+        (*room, *top) = (room.min(next), next);
+    }
+
+    /// A first or a further try has come.
+    pub fn arrived(&mut self, tier: usize, further: bool) {
+        match further {
+            true => self.further += 1,
+            false => self.arrivals[tier.min(TIERS_MOST - 1)] += 1,
+        }
+    }
+
+    /// Whether the fleet sheds it. `free` says that it could start at once.
+    pub fn sheds(&self, tier: usize, further: bool, free: bool) -> bool {
+        let Some(Advice { digest, .. }) = self.fresh() else { return false };
+        let short_below = digest.given_up || digest.part < 1.0;
+        let over_budget = further && (!free || short_below) && self.draw() >= f64::from(digest.pass);
+        over_budget || !free && !digest.level.lets_in(tier, self.draw())
+    }
+
+    /// Whether the fleet has no room elsewhere, if that is known.
+    pub fn fleet_full(&self) -> Option<bool> {
+        self.fresh().filter(|a| a.digest.of > 1).map(|a| !a.digest.level.is_open())
+    }
+
+    /// How long a refused request of this tier stays away, where alone it would be told `away_s`: shortly where another
+    /// worker has room, else spread over what the fleet can take, the lower tiers later.
+    pub fn stay_away_s(&self, tier: usize, away_s: f64) -> f64 {
+        let Some(Advice { digest, .. }) = self.fresh() else { return away_s };
+        if digest.level.is_open() && !digest.given_up && digest.pass >= 1.0 {
+            return away_s;
+        }
+        let below = tier.saturating_sub(digest.level.tier.min(tier)) as f64;
+        let spread = f64::from(digest.spread_s) * (1.0 + SPREAD_TIER * below);
+        away_s.max(spread * (0.5 + self.draw()))
+    }
+
+    /// Whether calls are not made at all here: the service is given up, and what stands at a call does not wait.
+    pub fn gives_up_call(&self, safe: bool) -> bool {
+        self.fresh().is_some_and(|a| a.digest.given_up && !(a.digest.trial && safe))
+    }
+
+    /// Whether a call may be made now.
+    pub fn may_call(&self, safe: bool) -> bool {
+        let trial_due = self.now - self.trial_at >= TRIAL_EVERY_S;
+        !self.gives_up_call(safe) && (trial_due || !self.fresh().is_some_and(|a| a.digest.given_up))
+    }
+
+    /// A call has been made.
+    pub fn called(&mut self) {
+        self.trial_at = self.now;
+    }
+
+    /// A call has ended, after so long.
+    pub fn call_ended(&mut self, good: bool, took_s: f64) {
+        match good {
+            true => {
+                (self.calls_good, self.call_time) = (self.calls_good + 1, self.call_time + took_s.max(0.0))
+            }
+            false => self.calls_bad += 1,
+        }
+    }
+
+    /// What the worker could end a second, and what waits for a call: by tier, how many, and what one is worth.
+    pub fn stands<'a>(&mut self, capacity: f64, waiting: impl Iterator<Item = (usize, &'a f64)>) {
+        let add =
+            |(all, worth): (f64, f64), (n, one): (usize, &f64)| (all + n as f64, worth + n as f64 * one);
+        let waiting = waiting.fold((0.0, 0.0), add);
+        (self.capacity, self.waiting) = (capacity, waiting);
+    }
+
+    /// What is to be reported; it is counted anew from now on.
+    pub fn numbers(&mut self, now: f64) -> Numbers {
+        let per_s = 1.0 / (now - self.told).max(0.05);
+        let tiers = self.arrivals.iter().rposition(|n| *n > 0).map_or(0, |last| last + 1);
+        let (waiting, worth) = self.waiting;
+        let spare = self.own - self.peak - (self.own * SPARE_MARGIN).max(1.0);
+        let numbers = Numbers {
+            arrivals: self.arrivals[..tiers].iter().map(|n| *n as f64 * per_s).collect(),
+            further: self.further as f64 * per_s,
+            capacity: self.capacity,
+            calls_good: self.calls_good as f64 * per_s,
+            calls_bad: self.calls_bad as f64 * per_s,
+            call_s: self.call_time / (self.calls_good.max(1)) as f64,
+            wants: if self.own.is_finite() { waiting } else { 0.0 },
+            worth: worth / waiting.max(1.0),
+            spare: if spare.is_finite() && self.own >= 1.0 && waiting == 0.0 { spare.max(0.0) } else { 0.0 },
+        };
+        (self.told, self.arrivals, self.further) = (now, [0; TIERS_MOST], 0);
+        (self.calls_good, self.calls_bad, self.call_time) = (0, 0, 0.0);
+        numbers
+    }
+
+    /// What operators read: names and values.
+    pub fn figures(&self) -> Vec<(&'static str, String)> {
+        let Some(Advice { digest, lent, .. }) = &self.advice else { return Vec::new() };
+        let level = digest.level;
+        let depth =
+            if level.is_open() { "open".to_owned() } else { format!("{}+{:.2}", level.tier, level.share) };
+        vec![
+            ("fresh", u64::from(self.fresh().is_some()).to_string()),
+            ("level", depth),
+            ("of_workers", digest.of.to_string()),
+            ("view_age_ms", digest.age_ms.to_string()),
+            ("retries_pass", format!("{:.2}", digest.pass)),
+            ("calls_part", format!("{:.2}", digest.part)),
+            ("given_up", u64::from(digest.given_up).to_string()),
+            ("trial", u64::from(digest.trial).to_string()),
+            ("calls_lent", format!("{lent:.2}")),
+            ("calls_slice", format!("{:.2}", digest.slice)),
+        ]
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::fleet::overload::level::Level;
+    use crate::fleet::overload::Digest;
+    use crate::interface::Dependency;
+
+    fn settings(share: f64) -> Settings {
+        Settings { dependency: Some(Dependency { share, ..Dependency::default() }), ..Settings::default() }
+    }
+
+    fn digest() -> Digest {
+        Digest { of: 9, pass: 1.0, part: 1.0, spread_s: 4.0, ..Digest::default() }
+    }
+
+    /// A worker at 10 s with this advice, good until 12 s, and its slice until 11 s.
+    fn advised(digest: Digest, lent: f64) -> Overload {
+        let mut local = Overload::new(0.0, &settings(4.0));
+        local.bound_calls(10.0, 0, &mut 4.0, &mut 2.0);
+        local.advise(Advice { digest, until: 12.0, slice_until: 11.0, lent });
+        local
+    }
+
+    /// The share of a thousand requests that is shed.
+    fn shed(local: &Overload, tier: usize, further: bool, free: bool) -> f64 {
+        (0..1000).filter(|_| local.sheds(tier, further, free)).count() as f64 / 1000.0
+    }
+
+    #[test]
+    fn the_level_sheds_by_tier_and_share_and_never_what_could_start_at_once() {
+        let local = advised(Digest { level: Level { tier: 1, share: 0.25 }, ..digest() }, 0.0);
+        assert_eq!([0, 2, 7, 99].map(|tier| shed(&local, tier, false, false)), [0.0, 1.0, 1.0, 1.0]);
+        assert!((shed(&local, 1, false, false) - 0.75).abs() < 0.05);
+        assert_eq!(shed(&local, 2, false, true), 0.0);
+        assert_eq!(local.fleet_full(), Some(true));
+    }
+
+    #[test]
+    fn further_tries_beyond_the_budget_are_shed_and_first_ones_are_not() {
+        let local = advised(Digest { pass: 0.2, ..digest() }, 0.0);
+        assert!((shed(&local, 0, true, false) - 0.8).abs() < 0.05);
+        assert_eq!((shed(&local, 0, true, true), shed(&local, 0, false, false)), (0.0, 0.0));
+        let short = advised(Digest { pass: 0.2, part: 0.5, ..digest() }, 0.0);
+        assert!(shed(&short, 0, true, true) > 0.7, "what runs would call a service that is short");
+    }
+
+    #[test]
+    fn advice_that_is_old_or_speaks_for_nobody_changes_nothing() {
+        let level = Level { tier: 0, share: 0.0 };
+        let mut local =
+            advised(Digest { level, pass: 0.0, part: 0.25, given_up: true, slice: 8.0, ..digest() }, 1.0);
+        let (mut top, mut room) = (4.0, 2.0);
+        local.bound_calls(12.0, 0, &mut top, &mut room);
+        assert_eq!(
+            (shed(&local, 5, true, false), local.fleet_full(), local.stay_away_s(5, 0.3)),
+            (0.0, None, 0.3)
+        );
+        assert!(local.may_call(false) && !local.gives_up_call(false));
+        assert_eq!((top, room), (3.0, 2.0), "a promise outlasts the view");
+        assert_eq!(advised(Digest { of: 1, level, ..digest() }, 0.0).fleet_full(), None);
+    }
+
+    #[test]
+    fn calls_in_hand_follow_part_loan_and_slice() {
+        for (lent, slice, part, now, top) in [
+            (0.0, 0.0, 1.0, 10.5, 4.0),
+            (2.0, 0.0, 1.0, 10.5, 2.0),
+            (0.0, 6.0, 1.0, 10.5, 10.0),
+            (0.0, 6.0, 1.0, 11.0, 4.0),
+            (0.0, 6.0, 0.25, 10.5, 2.5),
+            (2.0, 0.0, 0.25, 10.5, 1.0),
+        ] {
+            let mut local = advised(Digest { slice, part, ..digest() }, lent);
+            let (mut seen, mut room) = (4.0, 2.0);
+            local.bound_calls(now, 0, &mut seen, &mut room);
+            assert_eq!((seen, room), (top, f64::min(top, 2.0)), "{lent} {slice} {part} {now}");
+        }
+    }
+
+    #[test]
+    fn a_service_that_is_given_up_is_called_by_whoever_tries_it_safely_and_twice_a_second() {
+        let down = Digest { given_up: true, ..digest() };
+        let other = advised(down.clone(), 0.0);
+        assert!(other.gives_up_call(true) && !other.may_call(true));
+        let mut tries = advised(Digest { trial: true, ..down }, 0.0);
+        assert!(tries.gives_up_call(false) && !tries.gives_up_call(true));
+        let mut made = 0;
+        for n in 0..100 {
+            tries.bound_calls(10.0 + f64::from(n) * 0.01, 0, &mut 4.0, &mut 2.0);
+            if tries.may_call(true) {
+                tries.called();
+                made += 1;
+            }
+        }
+        assert_eq!(made, 2);
+    }
+
+    #[test]
+    fn returns_are_spread_by_rank_where_the_fleet_has_no_room() {
+        let local = advised(Digest { level: Level { tier: 1, share: 0.0 }, ..digest() }, 0.0);
+        let mean = |tier| (0..1000).map(|_| local.stay_away_s(tier, 0.1)).sum::<f64>() / 1000.0;
+        assert!((mean(1) - 4.0).abs() < 0.2 && (mean(3) - 6.0).abs() < 0.3, "{} {}", mean(1), mean(3));
+        assert_eq!(advised(digest(), 0.0).stay_away_s(1, 0.1), 0.1, "another worker has room");
+    }
+
+    #[test]
+    fn what_is_reported_are_rates_since_the_last_report_and_what_was_lately_not_needed() {
+        let mut local = Overload::new(0.0, &settings(8.0));
+        (0..10).for_each(|_| local.arrived(1, false));
+        local.arrived(0, true);
+        local.call_ended(true, 0.02);
+        local.call_ended(true, 0.04);
+        local.call_ended(false, 0.0);
+        local.stands(50.0, std::iter::empty());
+        let n = local.numbers(0.5);
+        assert_eq!(
+            (n.arrivals.clone(), n.further, n.calls_good, n.calls_bad),
+            (vec![0.0, 20.0], 2.0, 4.0, 2.0)
+        );
+        assert!((n.call_s - 0.03).abs() < 1e-9 && n.spare == 0.0, "its part may have been in hand: {n:?}");
+        assert_eq!(local.numbers(1.0).arrivals, Vec::<f64>::new());
+        local.bound_calls(60.0, 1, &mut 8.0, &mut 4.0);
+        assert_eq!(local.numbers(60.0).spare, 8.0 - 1.0 - 2.0);
+        local.stands(50.0, [(2, &5.0), (1, &2.0)].into_iter());
+        let n = local.numbers(61.0);
+        assert_eq!((n.spare, n.wants, n.worth), (0.0, 3.0, 4.0));
+    }
+}
--- /dev/null
+++ b/src/fleet/overload/member.rs
@@ -0,0 +1,143 @@
+//! A worker's side beside its session: what it reports, and what it may go by of the answers, and for how long.
+
+use super::calls::{Part, SLICE_S};
+use super::service::VIEW_S;
+use super::{Digest, Load};
+
+/// What the worker's decision module has counted since it was asked last.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Numbers {
+    /// Rates as in [`Load`].
+    pub arrivals: Vec<f64>,
+    pub further: f64,
+    pub capacity: f64,
+    pub calls_good: f64,
+    pub calls_bad: f64,
+    pub call_s: f64,
+    /// Calls in hand that it would make beyond what it may, what one is worth, and calls of its part that it can spare.
+    pub wants: f64,
+    pub worth: f64,
+    pub spare: f64,
+}
+
+/// What the decision module goes by. Times are on the clock of whoever is told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Advice {
+    pub digest: Digest,
+    /// Until when the view counts, and the slice.
+    pub until: f64,
+    pub slice_until: f64,
+    /// What is lent of the worker's part, whatever the view.
+    pub lent: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Side {
+    part: Part,
+    drift: f64,
+    digest: Option<(Digest, f64)>,
+    /// When reports went out whose digest may come: number and time. The newest is the last.
+    sent: Vec<(u64, f64)>,
+}
+
+/// Reports without an answer that are remembered.
+const SENT_MOST: usize = 8;
+
+impl Side {
+    /// `part` is what this worker may have in hand by itself.
+    pub fn new(now: f64, part: f64, drift: f64) -> Side {
+        Side { part: Part::new(now, part, drift), drift, digest: None, sent: Vec::new() }
+    }
+
+    /// The report that goes out now with the sign of life of this number.
+    pub fn report(&mut self, now: f64, number: u64, n: &Numbers) -> Load {
+        let (lends, heard) = self.part.report(now, number, n.spare);
+        self.sent.push((number, now));
+        if self.sent.len() > SENT_MOST {
+            self.sent.remove(0);
+        }
+        // Three digits tell all that matters, and keep the report short.
+        let short = |x: f64| {
+            let unit = 10f64.powi((x.abs().max(1e-6).log10().floor() as i32 - 3).min(0));
+            ((x / unit).round() * unit) as f32
+        };
+        Load {
+            number,
+            heard,
+            arrivals: n.arrivals.iter().map(|a| short(*a)).collect(),
+            further: short(n.further),
+            capacity: short(n.capacity),
+            calls_good: short(n.calls_good),
+            calls_bad: short(n.calls_bad),
+            call_s: short(n.call_s),
+            wants: short(n.wants),
+            worth: short(n.worth),
+            gives_up: self.digest.as_ref().is_some_and(|(d, until)| d.given_up && now < *until),
+            lends: lends as f32,
+        }
+    }
+
+    /// The answer to a sign of life.
+    pub fn heard(&mut self, number: u64, digest: &Digest) {
+        if !digest.is_sound() {
+            return;
+        }
+        let Some(at) = self.sent.iter().position(|(sent, _)| *sent == number) else { return };
+        let (_, sent) = self.sent[at];
+        self.sent.drain(..=at);
+        self.part.heard(number, digest.number, f64::from(digest.slice));
+        self.digest = Some((digest.clone(), sent + VIEW_S * (1.0 - self.drift)));
+    }
+
+    /// Another link: what was on the old one is lost, and the view goes on until it is too old.
+    pub fn relinked(&mut self) {
+        self.part.relinked();
+        self.sent.clear();
+    }
+
+    /// What the worker may go by now, on the same clock.
+    pub fn advice(&self, now: f64) -> Advice {
+        let (lent, slice) = self.part.now(now);
+        let (mut digest, until) = self.digest.clone().unwrap_or((Digest::default(), f64::NEG_INFINITY));
+        digest.slice = slice as f32;
+        let slice_until = if slice > 0.0 { until - (VIEW_S - SLICE_S) * (1.0 - self.drift) } else { now };
+        Advice { digest, until, slice_until, lent }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_view_counts_from_when_it_was_asked_for_and_a_slice_half_as_long() {
+        let mut side = Side::new(-10.0, 4.0, 0.1);
+        side.report(1.0, 7, &Numbers::default());
+        let digest = Digest { number: 1, of: 9, slice: 2.0, pass: 0.5, ..Digest::default() };
+        side.heard(7, &digest);
+        let advice = side.advice(1.4);
+        assert_eq!((advice.until, advice.digest.of, advice.digest.slice), (1.0 + VIEW_S * 0.9, 9, 2.0));
+        assert!((advice.slice_until - 1.9).abs() < 1e-9, "{advice:?}");
+        assert_eq!(side.advice(1.95).digest.slice, 0.0, "the slice is over, the view is not");
+        // Nonsense, answers to nothing, and answers on the link before say nothing.
+        side.report(2.0, 8, &Numbers::default());
+        side.heard(8, &Digest { pass: f32::NAN, ..digest.clone() });
+        side.heard(6, &digest);
+        side.relinked();
+        side.heard(8, &digest);
+        assert_eq!(side.advice(2.1).until, 1.0 + VIEW_S * 0.9);
+    }
+
+    #[test]
+    fn it_tells_that_it_has_given_the_service_up_only_while_it_goes_by_that() {
+        let mut side = Side::new(-10.0, 4.0, 0.1);
+        let numbers = Numbers { capacity: 123.4567, call_s: 0.012_345_6, spare: 3.0, ..Numbers::default() };
+        assert_eq!(side.report(1.0, 1, &numbers).lends, 0.0, "it has not been told how loans are counted");
+        side.heard(1, &Digest { number: 1, given_up: true, ..Digest::default() });
+        let load = side.report(2.0, 2, &numbers);
+        assert!(load.gives_up && load.is_sound() && load.heard == 1, "{load:?}");
+        assert_eq!((load.capacity, load.call_s, load.lends), (123.5, 0.01235, 2.0));
+        assert!(!side.report(3.0, 3, &numbers).gives_up);
+        assert_eq!(side.advice(3.0).lent, 2.0);
+    }
+}
--- a/src/fleet/session.rs
+++ b/src/fleet/session.rs
@@ -106,7 +106,7 @@
                 self.leave(now, steps);
                 false
             }
-            Stage::Up { .. } => now >= self.next_keep,
+            Stage::Up { .. } => self.keep_due(now),
             _ => false,
         }
     }
@@ -116,6 +116,11 @@
         self.broken(now);
     }
 
+    /// Whether a sign of life is due.
+    pub fn keep_due(&self, now: f64) -> bool {
+        self.is_up() && now >= self.next_keep
+    }
+
     /// A sign of life goes out: its number. The next one is due after `every_s`.
     pub fn keep(&mut self, now: f64, every_s: f64) -> u64 {
         self.seq += 1;
@@ -280,7 +285,7 @@
             let seq = s.keep(now, 1.0);
             s.heard(
                 now + 0.9,
-                &Word::Kept { seq, leases: vec![], totals: None, figures: vec![] },
+                &Word::Kept { seq, leases: vec![], totals: None, figures: vec![], overload: None },
                 &mut steps,
             );
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -37,6 +37,13 @@
     pub skipped_worth: f64,
 }
 
+impl Class {
+    /// Whether its runs and calls may be repeated.
+    pub fn is_safe(&self) -> bool {
+        self.effect == Effect::Safe
+    }
+}
+
 /// A tenant and what the whole fleet owes it.
 #[derive(Clone, Debug, Default)]
 pub struct Tenant {
@@ -172,6 +179,8 @@
     pub tenants: Vec<Tenant>,
     /// Pools of work, where an operator set some up.
     pub pools: Option<PoolPlan>,
+    /// The fleet handles overload as one.
+    pub overload: bool,
 }
 
 /// A request that has been read and is now held.
--- a/src/net/life/fleet.rs
+++ b/src/net/life/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::core::Core;
 use crate::fleet::frame::Counts;
+use crate::fleet::overload::member::Advice;
 use crate::net::Worker;
 use std::fmt::Write;
 
@@ -17,6 +18,10 @@
         let serves = self.replacement.as_ref().map_or(true, |r| r.door.is_open()) && self.core.is_some();
         let at = fleet.now();
         fleet.member.set_takes(at, serves && !self.state.draining);
+        if fleet.member.tells(at) {
+            let numbers = self.core.as_mut().and_then(Core::overload).map(|o| o.numbers(now));
+            numbers.into_iter().for_each(|n| fleet.member.tell(n));
+        }
         let (core, known) = (&self.core, &self.state.known);
         let figures = || -> Counts {
             let Some(core) = core else { return Counts::new() };
@@ -32,6 +37,12 @@
             counts
         };
         fleet.turn(now, figures, &mut self.wheel, &mut self.log);
+        let advice = fleet.member.advice(at);
+        if let (Some(advice), Some(o)) = (advice, self.core.as_mut().and_then(Core::overload)) {
+            // The module's clock is another, and stands still while the machine sleeps.
+            let (until, slice_until) = (advice.until - at + now, advice.slice_until - at + now);
+            o.advise(Advice { until, slice_until, ..advice });
+        }
     }
 
     /// The fleet's figures for operators, a line each.
@@ -40,6 +51,14 @@
         fleet.member.figures(fleet.now()).iter().fold(String::new(), |mut text, (name, value)| {
             let _ = writeln!(text, "{name}={value}");
             text
+        }) + &self.overload_figures()
+    }
+
+    fn overload_figures(&self) -> String {
+        let figures = self.core.as_ref().map(Core::overload_figures).unwrap_or_default();
+        figures.iter().fold(String::new(), |mut text, (name, value)| {
+            let _ = writeln!(text, "fleet.overload.{name}={value}");
+            text
         })
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 use crate::config::{Config, Files, Operator};
 use crate::core::figures::Figures;
 use crate::core::{Answer, Command, Core, Input, Ticket};
+use crate::fleet::Plan;
 use crate::handover::{Doubt, Event};
 use crate::interface::{Outcome, Settings};
 use base::poll::{Gathered, Place, Poll, ACCEPT_PAUSE_S};
@@ -231,6 +232,7 @@
         let mut settings = config.settings.settings(config.seed_number());
         // Kept keys and results lie in this process's own memory: the platform books none for them.
         settings.entry_kb = 0.0;
+        settings.overload = operator.fleet.as_ref().is_some_and(|f| f.overload());
         settings.pools = operator.pools.as_ref().map(|p| p.plan(&config.settings)).transpose()?;
         let known = Rc::new(Catalogue::new(&config.settings, &settings));
         let sockets = config.limits.sockets;
@@ -268,7 +270,11 @@
         };
         let directory = operator.directory.clone().map(|settings| Directory::new(poll, settings));
         let servers = operator.backend.clone().map(|settings| AjpBackend::new(poll, settings));
-        let fleet = operator.fleet.as_ref().map(|f| Fleet::new(poll, f.plan(&config)));
+        let part = settings.dependency.as_ref().map_or(0.0, |d| d.share);
+        let fleet = operator.fleet.as_ref().map(|f| {
+            let overload = f.overload().then_some(part);
+            Fleet::new(poll, Plan { overload, ..f.plan(&config) })
+        });
         let registry = match config.registry {
             Some(to) => Some(Registry::new(to, &config.name).map_err(|e| format!("registry {to}: {e}"))?),
             None => None,
