Play storms of a fleet in virtual time, and mend what they found in overload as one

Need: the decisions of overload as one had tables and interleavings, and had never met a load.

A quarter is lent at most. - After a slow service the retries came back as soon as its part was whole: a fleet is short for 3 s after its workers last turned away over 1%, and tries beyond the budget no longer count as inflow that lower tiers wait behind.

--- a/coordinator/src/config.rs
+++ b/coordinator/src/config.rs
@@ -39,8 +39,8 @@
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Overload {
-    /// What a worker may have in hand at the service below by itself (mean number of calls): a worker lends half of
-    /// that at most, whatever it says.
+    /// What a worker may have in hand at the service below by itself (mean number of calls): a worker lends a quarter
+    /// of that at most, whatever it says.
     pub calls_part: f64,
     /// Further tries that the fleet takes for each first one while it is short (percent).
     #[serde(default = "default_retry_percent")]
@@ -179,7 +179,11 @@
             ("ttl_ms = 3000", "ttl_ms = 3", "task totals.ttl_ms is 3; expected 500"),
             ("ttl_ms = 3000", "tll_ms = 3000", "line 26: unknown field `tll_ms`"),
             ("\"totals\"", "\"to tals\"", "task.name is \"to tals\"; expected letters"),
-            ("epoch", "overload = { calls_part = -1.0 }\nepoch", "overload.calls_part is -1; expected 0 to"),
+            (
+                "epoch = 1",
+                "overload = { calls_part = -1.0 }\nepoch = 1",
+                "overload.calls_part is -1; expected 0 to",
+            ),
             (
                 "[[coordinator]]\nname = \"c3\"\naddress = \"127.0.0.1:7103\"\n",
                 "",
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -7,4 +7,7 @@
 pub mod process_campaign;
 pub mod relay;
 pub mod rig;
+pub mod routers;
+pub mod service;
+pub mod storm;
 pub mod virtual_fleet;
--- a/lab/src/fleet/rig.rs
+++ b/lab/src/fleet/rig.rs
@@ -3,7 +3,8 @@
 
 use super::acts;
 use super::relay::Relay;
-use crate::experiment::Experiment;
+use super::service::Service;
+use crate::experiment::{ClassModel, Experiment};
 use crate::sockets::{lock, serve_executor, Clock};
 use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 use serde::Deserialize;
@@ -20,6 +21,8 @@
 
 /// How long a process may take to come up.
 const START: Duration = Duration::from_secs(20);
+/// How long a call at the shared service takes (milliseconds), until a story says otherwise.
+const CALL_MS: u64 = 10;
 /// The classes that the workers of a fleet serve.
 const SITE: &str = include_str!("../../experiments/console.toml");
 
@@ -39,6 +42,9 @@
     pub work_ms: u64,
     #[serde(default, rename = "task")]
     pub tasks: Vec<FleetTask>,
+    /// Overload handled as one, with so many calls in hand for each worker at a service below that all share.
+    #[serde(default)]
+    pub calls_part: Option<f64>,
     /// Coordinators of the older version, by name: for fleets in which two versions meet.
     #[serde(default)]
     pub older: Vec<String>,
@@ -133,6 +139,8 @@
     programs: Programs,
     relays: Vec<Relay>,
     processes: Vec<Process>,
+    /// What all workers call below, where overload is handled as one.
+    pub service: Option<Service>,
     site: Experiment,
     clock: Clock,
     over: Arc<AtomicBool>,
@@ -164,6 +172,7 @@
         let mut rig = Rig {
             relays: Vec::new(),
             processes: Vec::new(),
+            service: file.calls_part.map(|_| Service::start(CALL_MS)).transpose()?,
             site: Experiment::decode(SITE)?,
             clock: Clock::from_now(),
             over: Arc::default(),
@@ -184,6 +193,13 @@
             relay.aim(Some(acts));
             rig.relays.push(relay);
         }
+        if let Some(at) = rig.service.as_ref().map(|s| s.address) {
+            for from in &workers {
+                let relay = Relay::start(from, "service")?;
+                relay.aim(Some(at));
+                rig.relays.push(relay);
+            }
+        }
         for name in &coordinators {
             rig.start_coordinator(name)?;
         }
@@ -200,6 +216,11 @@
         Ok(rig)
     }
 
+    /// A class that the workers serve.
+    pub fn class(&self, name: &str) -> Option<&ClassModel> {
+        self.site.class.iter().find(|c| c.name == name)
+    }
+
     pub fn coordinators(&self) -> Vec<String> {
         (1..=self.file.coordinators).map(|n| format!("c{n}")).collect()
     }
@@ -225,6 +246,9 @@
             self.folder.join(name),
             self.file.write_overdue_ms
         );
+        if let Some(part) = self.file.calls_part {
+            text += &format!("overload = {{ calls_part = {part:?} }}\n");
+        }
         if self.file.older.iter().any(|older| older == name) {
             text += "version = 1\n";
         }
@@ -275,8 +299,12 @@
             .ok()
             .and_then(|a| a.as_socket())
             .ok_or("a door has no address")?;
-        let nobody = "127.0.0.1:9";
-        let mut config = self.site.config(&listen.to_string(), &executor_at.to_string(), nobody, nobody);
+        let nobody = "127.0.0.1:9".to_owned();
+        let below = self.relay(name, "service").map_or(nobody.clone(), |a| a.to_string());
+        let mut config = self.site.config(&listen.to_string(), &executor_at.to_string(), &below, &nobody);
+        if let Some(part) = self.file.calls_part {
+            config["settings"]["domain"]["fairCalls"] = json!(part);
+        }
         config["name"] = json!(name);
         config["console"] = json!("127.0.0.1:0");
         let mut operator = format!("[fleet]\nname = {:?}\ncoordinators = [", self.file.fleet);
@@ -287,6 +315,9 @@
         if !self.file.zones.is_empty() {
             operator += &format!("zone = {:?}\n", self.file.zones[number % self.file.zones.len()]);
         }
+        if self.file.calls_part.is_some() {
+            operator += "overload = { on = true }\n";
+        }
         let acts = self.relay(name, "acts")?;
         for task in &self.file.tasks {
             operator += &format!(
--- /dev/null
+++ b/lab/src/fleet/routers.rs
@@ -0,0 +1,109 @@
+//! Routers of a fleet of processes: requests at an even pace to doors in turn, each with its answer counted. Some walk on
+//! when they are refused, and all hold each request to one final answer.
+
+use crate::callers::Asked;
+use crate::executor::Work;
+use crate::experiment::ClassModel;
+use crate::sockets::{fields, lock, message};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Connections at once: what is due while all are busy waits, and is late by that.
+const LANES: usize = 48;
+
+/// What came of the requests so far.
+#[derive(Clone, Debug, Default)]
+pub struct Answers {
+    pub asked: u64,
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+    /// No answer in its time, or more than one.
+    pub owed: u64,
+}
+
+/// Routers that send until they are dropped.
+pub struct Routers {
+    over: Arc<AtomicBool>,
+    answers: Arc<Mutex<Answers>>,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+impl Routers {
+    /// So many requests a second of a class, spread over these doors by their weights.
+    pub fn start(doors: &[(SocketAddr, usize)], class: &ClassModel, per_s: f64) -> Routers {
+        let doors: Vec<SocketAddr> = doors.iter().flat_map(|(door, n)| vec![*door; *n]).collect();
+        let (over, answers) = (Arc::new(AtomicBool::new(false)), Arc::<Mutex<Answers>>::default());
+        let (start, next) = (Instant::now(), Arc::new(AtomicUsize::new(0)));
+        let lane = || {
+            let (doors, class, over) = (doors.clone(), class.clone(), over.clone());
+            let (answers, next) = (answers.clone(), next.clone());
+            thread::spawn(move || {
+                while !over.load(Ordering::Relaxed) {
+                    let number = next.fetch_add(1, Ordering::Relaxed);
+                    let due = start + Duration::from_secs_f64(number as f64 / per_s);
+                    thread::sleep(due.saturating_duration_since(Instant::now()));
+                    let status = send(doors[number % doors.len()], &class, number);
+                    let mut answers = lock(&answers);
+                    answers.asked += 1;
+                    *match status {
+                        Some(200) => &mut answers.served,
+                        Some(503) => &mut answers.refused,
+                        Some(_) => &mut answers.failed,
+                        None => &mut answers.owed,
+                    } += 1;
+                }
+            })
+        };
+        let threads = (0..LANES).map(|_| lane()).collect();
+        Routers { over, answers, threads }
+    }
+
+    pub fn answers(&self) -> Answers {
+        lock(&self.answers).clone()
+    }
+
+    /// Sends no more, and waits for what is on its way.
+    pub fn end(mut self) -> Answers {
+        self.over.store(true, Ordering::Relaxed);
+        self.threads.drain(..).for_each(|t| drop(t.join()));
+        self.answers()
+    }
+}
+
+impl Drop for Routers {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
+    }
+}
+
+/// One request and the status of its answer.
+fn send(door: SocketAddr, class: &ClassModel, number: usize) -> Option<u16> {
+    let work =
+        Work { before_s: class.work_ms / 2000.0, after_s: class.work_ms / 2000.0, calls: class.calls > 0.0 };
+    let asked = Asked { number, at: 0.0, class: 0, work, need_kb: class.need_kb };
+    let fields: String = fields(&asked, class, 1, class.deadline_ms / 1000.0)
+        .into_iter()
+        .map(|(name, value)| format!("{name}: {value}\r\n"))
+        .collect();
+    let body = work.body();
+    let head = format!(
+        "POST /do/{} HTTP/1.1\r\nHost: lab\r\n{fields}Content-Length: {}\r\nConnection: close\r\n\r\n",
+        class.name,
+        body.len()
+    );
+    let mut stream = TcpStream::connect_timeout(&door, Duration::from_secs(2)).ok()?;
+    let _ = stream.set_read_timeout(Some(Duration::from_secs_f64(class.deadline_ms / 1000.0 + 2.0)));
+    stream.write_all(&[head.as_bytes(), &body].concat()).ok()?;
+    let mut reader = BufReader::new(stream);
+    let (head, _) = message(&mut reader)?;
+    // A second answer on the same connection would be one too many.
+    if message(&mut reader).is_some() {
+        return None;
+    }
+    head.split(' ').nth(1)?.parse().ok()
+}
--- /dev/null
+++ b/lab/src/fleet/service.rs
@@ -0,0 +1,85 @@
+//! The stand-in for the records service that all workers of a fleet share: it answers after a while, slows or turns all
+//! away when told, and counts what it has in hand by its own clock.
+
+use crate::sockets::{lock, message};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct State {
+    call_ms: u64,
+    down: bool,
+    in_hand: usize,
+    most: usize,
+    made: u64,
+}
+
+/// One service; it ends with the process.
+#[derive(Clone)]
+pub struct Service {
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl Service {
+    /// # Errors
+    /// The system's.
+    pub fn start(call_ms: u64) -> Result<Service, String> {
+        let door = TcpListener::bind("127.0.0.1:0").map_err(|e| format!("service: {e}"))?;
+        let address = door.local_addr().map_err(|e| format!("service: {e}"))?;
+        let state = Arc::new(Mutex::new(State { call_ms, ..State::default() }));
+        let service = Service { address, state };
+        let own = service.clone();
+        thread::spawn(move || {
+            for stream in door.incoming().map_while(Result::ok) {
+                let own = own.clone();
+                thread::spawn(move || own.serve(stream));
+            }
+        });
+        Ok(service)
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut reader = BufReader::new(stream);
+        while message(&mut reader).is_some() {
+            let state = {
+                let mut state = lock(&self.state);
+                state.made += 1;
+                state.in_hand += 1;
+                state.most = state.most.max(state.in_hand);
+                *state
+            };
+            let reply = match state.down {
+                true => &b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"[..],
+                false => {
+                    thread::sleep(Duration::from_millis(state.call_ms));
+                    &b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n!"[..]
+                }
+            };
+            lock(&self.state).in_hand -= 1;
+            if reader.get_mut().write_all(reply).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Every call is turned away from now on, or answered again.
+    pub fn set_down(&self, down: bool) {
+        lock(&self.state).down = down;
+    }
+
+    /// How long a call takes from now on (milliseconds).
+    pub fn set_call_ms(&self, call_ms: u64) {
+        lock(&self.state).call_ms = call_ms;
+    }
+
+    /// Calls made so far, and the most that it had in hand at once.
+    pub fn counts(&self) -> (u64, usize) {
+        let state = lock(&self.state);
+        (state.made, state.most)
+    }
+}
--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -410,7 +410,7 @@
 }
 
 /// Reads one message's head and body; `None` when there is none.
-fn message(reader: &mut BufReader<TcpStream>) -> Option<(String, Vec<u8>)> {
+pub fn message(reader: &mut BufReader<TcpStream>) -> Option<(String, Vec<u8>)> {
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
         if reader.read_line(&mut head).ok()? == 0 {
--- a/lab/tests/fleet/common.rs
+++ b/lab/tests/fleet/common.rs
@@ -72,6 +72,18 @@
         fleet
     }
 
+    /// Four workers in two zones that handle overload as one, with four calls in hand each at the service below.
+    pub fn overloaded() -> Fleet {
+        let file = "fleet = \"story\"\ncoordinators = 3\nworkers = 4\nzones = [\"east\", \"west\"]\ncalls_part = 4.0\n";
+        let fleet = Fleet::of(file, true);
+        for name in fleet.rig.workers() {
+            fleet.wait(&format!("{name} hears of all four"), |_| {
+                fleet.figure(&name, "fleet.overload.of_workers").filter(|of| *of == 4.0)
+            });
+        }
+        fleet
+    }
+
     /// In which one coordinator understands version 1 alone.
     pub fn mixed() -> Fleet {
         Fleet::bare("older = [\"c3\"]\n", true)
--- a/lab/tests/fleet/main.rs
+++ b/lab/tests/fleet/main.rs
@@ -2,4 +2,5 @@
 //! stand-in that tasks act upon, by its one clock.
 
 mod common;
+mod overload;
 mod stories;
--- /dev/null
+++ b/lab/tests/fleet/overload.rs
@@ -0,0 +1,109 @@
+//! Overload handled by the fleet as one, told with processes: the judge is the service's own count of calls, and the
+//! routers' of answers.
+
+use super::common::Fleet;
+use honeypost_lab::fleet::routers::Routers;
+use std::time::{Duration, Instant};
+
+/// Requests of a class to all workers, by weights.
+fn send(fleet: &Fleet, class: &str, weights: [usize; 4], per_s: f64) -> Routers {
+    let doors: Vec<_> =
+        fleet.rig.workers().iter().zip(weights).filter_map(|(w, n)| Some((fleet.rig.door(w)?, n))).collect();
+    Routers::start(&doors, fleet.rig.class(class).unwrap(), per_s)
+}
+
+/// Waits until a figure is so at every worker.
+fn wait_all(fleet: &Fleet, figure: &str, is: f64) {
+    for name in fleet.rig.workers() {
+        fleet.wait(&format!("{figure} is {is} at {name}"), |_| {
+            fleet.figure(&name, &format!("fleet.overload.{figure}")).filter(|f| *f == is)
+        });
+    }
+}
+
+fn made(fleet: &Fleet) -> u64 {
+    fleet.rig.service.as_ref().unwrap().counts().0
+}
+
+#[test]
+fn a_service_that_is_down_is_tried_by_one_worker_a_zone_and_opens_when_it_is_back() {
+    let fleet = Fleet::overloaded();
+    let service = fleet.rig.service.clone().unwrap();
+    let routers = send(&fleet, "eligibility", [1; 4], 120.0);
+    fleet.wait("calls", |_| (made(&fleet) > 50).then_some(()));
+    service.set_down(true);
+    wait_all(&fleet, "given_up", 1.0);
+    fleet.wait("a worker a zone that tries it", |_| {
+        let trials =
+            fleet.rig.workers().iter().filter_map(|w| fleet.figure(w, "fleet.overload.trial")).sum::<f64>();
+        (trials == 2.0).then_some(())
+    });
+    let (before, start) = (made(&fleet), Instant::now());
+    std::thread::sleep(Duration::from_secs(3));
+    let (calls, took) = (made(&fleet) - before, start.elapsed().as_secs_f64());
+    // Two a second a zone, and one that may have been due.
+    assert!(calls as f64 <= 2.0 * (2.0 * took + 1.0), "{calls} calls in {took:.1} s");
+    fleet.wait("a trial", |_| (made(&fleet) > before).then_some(()));
+    service.set_down(false);
+    wait_all(&fleet, "given_up", 0.0);
+    wait_all(&fleet, "calls_part", 1.0);
+    let answers = routers.end();
+    assert!(answers.owed == 0 && answers.served > 100, "{answers:?}");
+}
+
+#[test]
+fn a_leader_killed_while_the_service_is_down_opens_nothing_for_long() {
+    let mut fleet = Fleet::overloaded();
+    let service = fleet.rig.service.clone().unwrap();
+    let routers = send(&fleet, "eligibility", [1; 4], 120.0);
+    fleet.wait("calls", |_| (made(&fleet) > 50).then_some(()));
+    service.set_down(true);
+    wait_all(&fleet, "given_up", 1.0);
+    let leader = fleet.leader();
+    fleet.rig.kill(&leader).unwrap();
+    fleet.wait("another leader", |rig| {
+        let names: Vec<String> = rig.coordinators().into_iter().filter(|c| *c != leader).collect();
+        names.into_iter().find(|c| fleet.status(c).is_some_and(|s| s["leads"] == true))
+    });
+    wait_all(&fleet, "fresh", 1.0);
+    wait_all(&fleet, "given_up", 1.0);
+    service.set_down(false);
+    wait_all(&fleet, "given_up", 0.0);
+    let answers = routers.end();
+    assert!(answers.owed == 0, "{answers:?}");
+}
+
+#[test]
+fn what_idle_workers_do_without_a_busy_one_has_and_never_more_than_all_parts() {
+    let mut fleet = Fleet::overloaded();
+    let service = fleet.rig.service.clone().unwrap();
+    // Calls of 100 ms: four in hand are 40 a second, and the first is asked for three times that.
+    service.set_call_ms(100);
+    let routers = send(&fleet, "eligibility", [9, 1, 1, 1], 120.0);
+    fleet.wait("a slice", |_| fleet.figure("w1", "fleet.overload.calls_slice").filter(|slice| *slice >= 1.0));
+    for name in ["w2", "w3", "w4"] {
+        fleet.wait(&format!("a loan of {name}"), |_| {
+            fleet.figure(name, "fleet.overload.calls_lent").filter(|lent| *lent > 0.0)
+        });
+    }
+    // The borrower stops with its slice and goes on; the leader dies with all slices given.
+    fleet.rig.pause("w1").unwrap();
+    std::thread::sleep(Duration::from_millis(1500));
+    fleet.rig.resume("w1").unwrap();
+    let leader = fleet.leader();
+    fleet.rig.kill(&leader).unwrap();
+    fleet.wait("a slice from the next leader", |_| {
+        let led = fleet
+            .rig
+            .coordinators()
+            .iter()
+            .any(|c| *c != leader && fleet.status(c).is_some_and(|s| s["leads"] == true));
+        let slice = fleet.figure("w1", "fleet.overload.calls_slice").filter(|slice| *slice >= 1.0);
+        slice.filter(|_| led && fleet.figure("w1", "fleet.overload.fresh") == Some(1.0))
+    });
+    std::thread::sleep(Duration::from_secs(1));
+    let answers = routers.end();
+    let (_, most) = service.counts();
+    assert!(most <= 16, "{most} calls at once of 16");
+    assert!(answers.owed == 0 && answers.served > 50, "{answers:?}");
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -561,8 +561,8 @@
         self.held_kb += request.kb;
         self.sickness.has_read(a.unread_s, class.aim_s);
         self.further += f64::from(u8::from(a.retry)) / MEASURE_S;
-        self.inflow[tier] += 1.0 / MEASURE_S;
-        self.overload.iter_mut().for_each(|o| o.arrived(tier, a.retry));
+        let over = self.overload.as_mut().is_some_and(|o| o.arrived(tier, a.retry));
+        self.inflow[tier] += if over { 0.0 } else { 1.0 / MEASURE_S };
         self.requests.insert(a.id, request);
         // After the grace nothing starts, and an answer might not come in time; what may have run is failed.
         if too_late && a.repeats.is_some() {
@@ -571,7 +571,7 @@
         if class.effect == Effect::Keyed && self.repeat(&a, out) {
             return self.make_room(out);
         }
-        if too_late || self.must_refuse(a.id, a.retry) {
+        if too_late || over || self.must_refuse(a.id) {
             return self.refuse(a.id, out);
         }
         if class.effect == Effect::Keyed {
@@ -629,7 +629,7 @@
 
     /// j and k stand for waiting time: what can be started in the time that the aim leaves, with the capacity
     /// that tiers above leave over. Work parked at a call counts as held, or it would be hidden.
-    fn must_refuse(&self, id: RequestId, retry: bool) -> bool {
+    fn must_refuse(&self, id: RequestId) -> bool {
         let Some(r) = self.requests.get(&id) else { return true };
         let (class, jammed) = (self.class(r.class), self.call_jam(r.tier));
         // While the dependency is the bottleneck, what waits for it does not stand in the way of the rest.
@@ -664,7 +664,7 @@
         // The top tier is refused too when even it could not end in time: sooner said than failed late.
         let total = if r.tier == 0 { waiting(1) } else { held };
         let full = self.pools.as_ref().is_some_and(|pools| pools.full(r.class));
-        let shed = self.overload.as_ref().is_some_and(|o| o.sheds(r.tier, retry, free));
+        let shed = self.overload.as_ref().is_some_and(|o| o.sheds(r.tier, free));
         no_call || full || shed || !free && (total as f64 >= j || above as f64 >= k)
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 
 use crate::brain::Controller;
 use crate::fleet::overload::local::Overload;
+use crate::fleet::overload::member::Numbers;
 use crate::handover::Doubt;
 use crate::interface::{
     Action, Arrival, Class, Effect, Event, Gauges, Learned, Outcome, PoolPlan, RequestId, Settings,
@@ -274,6 +275,13 @@
         self.controller.overload.as_mut()
     }
 
+    /// What is to be told to the fleet; it is counted anew from now on.
+    pub fn fleet_numbers(&mut self, now: f64) -> Option<Numbers> {
+        let (served, refused) =
+            self.figures.classes().iter().fold((0, 0), |(s, r), c| (s + c.success, r + c.overload));
+        Some(self.controller.overload.as_mut()?.numbers(now, served, refused))
+    }
+
     /// What operators read of it: names and values.
     pub fn overload_figures(&self) -> Vec<(&'static str, String)> {
         self.controller.overload.as_ref().map(Overload::figures).unwrap_or_default()
--- a/src/fleet/overload/calls.rs
+++ b/src/fleet/overload/calls.rs
@@ -10,8 +10,8 @@
 //! leader gives no more than loans that last longer than the slice, and nothing until slices of the leader before have
 //! ended. Like renewals of leases, digests go out only after a quorum has confirmed the leader.
 //!
-//! A process that starts can't know what the one before it had lent: it lends half of its part at most, and uses no more
-//! than the other half until any such loan has ended.
+//! A process that starts can't know what the one before it had lent: nobody lends more than a quarter of its part, and a new
+//! process uses no more than the other three until any such loan has ended.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -20,7 +20,7 @@
 /// How long a slice lasts (seconds): one lost report must not end it, and what was given falls within a second.
 pub const SLICE_S: f64 = 1.0;
 /// What a worker keeps of its part whatever happens.
-pub const KEPT: f64 = 0.5;
+pub const KEPT: f64 = 0.75;
 /// Digests of a worker whose sending times are remembered.
 const SENT_MOST: usize = 16;
 /// A party that has been silent for so long is forgotten (seconds): its loans and slices are long over.
@@ -66,7 +66,7 @@
 /// The leader's side.
 #[derive(Clone, Debug)]
 pub struct Dealer {
-    /// The most that one worker can lend: half of a declared part.
+    /// The most that one worker can lend: a quarter of a declared part.
     lend_most: f64,
     /// Slices of the leader before may be alive until then.
     gives_from: f64,
--- a/src/fleet/overload/leader.rs
+++ b/src/fleet/overload/leader.rs
@@ -13,6 +13,10 @@
 const SPREAD_LEAST_S: f64 = 1.0;
 const SPREAD_MOST_S: f64 = 10.0;
 
+/// The fleet counts as short for so long after it last was (seconds), and while its workers turn away more than this share.
+const SHORT_FOR_S: f64 = 3.0;
+const TURNED_AWAY: f64 = 0.01;
+
 /// `[overload]` of the coordinators' file.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
@@ -30,6 +34,7 @@
     retries: Retries,
     dealer: Dealer,
     looked: f64,
+    short_until: f64,
     sums: Sums,
 }
 
@@ -43,6 +48,7 @@
             retries: Retries::new(now, settings.retry_share),
             dealer: Dealer::lead(now, settings.part),
             looked: now,
+            short_until: f64::NEG_INFINITY,
             sums: Sums::default(),
         }
     }
@@ -90,8 +96,12 @@
             let sums = self.view.sums(now, Some(zone));
             lines.extend(self.service.look(now, zone, &sums).map(|line| format!("overload: {line}")));
         }
-        let short = !self.levels.level(now).is_open() || self.service.is_short();
-        self.retries.look(now, &self.sums, short);
+        // What workers turn away by themselves counts as well: a storm of further tries goes on where all looks well again.
+        let turned_away = self.sums.refused > TURNED_AWAY * self.sums.arrivals.iter().sum::<f64>();
+        if !self.levels.level(now).is_open() || self.service.is_short() || turned_away {
+            self.short_until = now + SHORT_FOR_S;
+        }
+        self.retries.look(now, &self.sums, now < self.short_until);
         lines
     }
 
--- a/src/fleet/overload/mod.rs
+++ b/src/fleet/overload/mod.rs
@@ -48,6 +48,9 @@
     pub arrivals: Vec<f32>,
     #[serde(rename = "f")]
     pub further: f32,
+    /// First tries that its own module turned away, apart from what the fleet sheds.
+    #[serde(rename = "r")]
+    pub refused: f32,
     /// Runs that it could end a second, as it holds itself capable.
     #[serde(rename = "c")]
     pub capacity: f32,
@@ -75,6 +78,7 @@
     fn figures(&self) -> impl Iterator<Item = f32> + '_ {
         let others = [
             self.further,
+            self.refused,
             self.capacity,
             self.calls_good,
             self.calls_bad,
@@ -150,6 +154,7 @@
             heard: 1_000_000,
             arrivals: vec![12345.6; TIERS_MOST],
             further: 1234.5,
+            refused: 1234.5,
             capacity: 4321.5,
             calls_good: 1234.25,
             calls_bad: 1234.25,
--- a/src/net/life/fleet.rs
+++ b/src/net/life/fleet.rs
@@ -19,7 +19,7 @@
         let at = fleet.now();
         fleet.member.set_takes(at, serves && !self.state.draining);
         if fleet.member.tells(at) {
-            let numbers = self.core.as_mut().and_then(Core::overload).map(|o| o.numbers(now));
+            let numbers = self.core.as_mut().and_then(|core| core.fleet_numbers(now));
             numbers.into_iter().for_each(|n| fleet.member.tell(n));
         }
         let (core, known) = (&self.core, &self.state.known);
