End runs at calls whose request is over in storms, as the platform's executor does; open a service by quarters

Cause: in the storms a worker stayed at a fifth of its worth for ten seconds after a slow service. The lab's executor kept a run at its call for good when its request was over, so that it took up the crowd until core's SILENT_RUN_S; the platform's ends it (EXIT KILLED).

Change: storm's executor ends such runs; the part rises by quarters, below which each worker's own bound opens by its own steps.

--- a/lab/src/executor.rs
+++ b/lab/src/executor.rs
@@ -163,6 +163,11 @@
         true
     }
 
+    /// A run that stands at a call is ended, as its request is over; `false` for one that does not.
+    pub fn end_at_call(&mut self, id: &str) -> bool {
+        self.at_calls.remove(id).is_some()
+    }
+
     /// The highest mean of runs on the cores over this time, for each core.
     pub fn crowd_mean(&self, over_s: f64) -> f64 {
         let n = ((over_s * 10.0) as usize).max(1);
--- a/lab/src/fleet/storm.rs
+++ b/lab/src/fleet/storm.rs
@@ -142,6 +142,8 @@
     reports: u64,
     open: BTreeMap<u64, Try>,
     poor: BTreeMap<u64, bool>,
+    /// When the requests of runs are over; the executor ends a run at a call then, as the platform's does.
+    due: BTreeMap<(u64, Rc<str>), ()>,
     inbox: Vec<Input>,
 }
 
@@ -244,6 +246,7 @@
             reports: 0,
             open: BTreeMap::new(),
             poor: BTreeMap::new(),
+            due: BTreeMap::new(),
             inbox: Vec::new(),
         };
         (worker, out)
@@ -396,6 +399,12 @@
                 }
             });
         }
+        while let Some(first) = worker.due.first_entry().filter(|e| e.key().0 as f64 / 1e6 <= now) {
+            let ((_, name), ()) = first.remove_entry();
+            if worker.executor.end_at_call(&name) {
+                worker.inbox.push(Input::RunEnded { name, outcome: Outcome::Stopped, result: None });
+            }
+        }
         if now >= worker.wake {
             worker.wake = f64::INFINITY;
             let (since, before) = worker.busy;
@@ -418,7 +427,10 @@
             let worker = &mut self.workers[w];
             match command {
                 Command::Answer(ticket, answer) => self.answered(now, w, ticket.0, &answer),
-                Command::Run { name, body, .. } => drop(worker.executor.start(&name, Work::read(&body))),
+                Command::Run { name, body, due, .. } => {
+                    worker.executor.start(&name, Work::read(&body));
+                    worker.due.insert(((due.max(0.0) * 1e6) as u64, name), ());
+                }
                 Command::Call { name, for_s, .. } => {
                     self.until.insert((w, name.clone()), now + for_s);
                     self.service.call(now, w, name);
--- a/src/fleet/overload/service.rs
+++ b/src/fleet/overload/service.rs
@@ -7,11 +7,12 @@
 use std::collections::BTreeMap;
 
 /// Calls have slowed when their mean is so many times the yardstick; the part falls by the second share a look then, no
-/// lower than the third, and rises by the fourth.
+/// lower than the third, and rises by the fourth: whole again within two seconds, since each worker's own bound opens by
+/// smaller steps below it.
 const SLOW: f64 = 2.2;
 const BACK: f64 = 0.7;
 const PART_LEAST: f64 = 0.25;
-const STEP: f64 = 0.1;
+const STEP: f64 = 0.25;
 /// A yardstick follows a shorter mean by the first share a look, a longer one by the second.
 const SINK: f64 = 0.25;
 const CREEP: f64 = 0.002;
