--- a/lab/src/fleet/measure.rs
+++ b/lab/src/fleet/measure.rs
@@ -4,7 +4,7 @@
 use super::rig::{FleetFile, Programs, Rig};
 use honeypost::fleet::frame::{decode, encode, Question, Say, Word, HEAR_MOST_BYTES, VERSION};
 use honeypost_coordinator::ask::{ask, ask_leader, Asked};
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -101,8 +101,8 @@
         self.stream.write_all(&encode(say)).map_err(|e| e.to_string())
     }
 
-    /// Reads until a word is one that `wanted` takes something from.
-    fn until<T>(&mut self, wanted: impl Fn(&Word) -> Option<T>) -> Result<T, String> {
+    /// Reads until a word is one that `wanted` takes something from; `None` if none comes for a moment.
+    fn until<T>(&mut self, wanted: impl Fn(&Word) -> Option<T>) -> Result<Option<T>, String> {
         let mut part = [0; 4096];
         loop {
             while let Some((word, length)) =
@@ -110,12 +110,14 @@
             {
                 self.data.drain(..length);
                 if let Some(found) = wanted(&word) {
-                    return Ok(found);
+                    return Ok(Some(found));
                 }
             }
-            match self.stream.read(&mut part).map_err(|e| e.to_string())? {
-                0 => return Err("the coordinator closed the link".to_owned()),
-                n => self.data.extend_from_slice(&part[..n]),
+            match self.stream.read(&mut part) {
+                Ok(0) => return Err("the coordinator closed the link".to_owned()),
+                Ok(n) => self.data.extend_from_slice(&part[..n]),
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => return Ok(None),
+                Err(e) => return Err(e.to_string()),
             }
         }
     }
@@ -143,7 +145,8 @@
     let take = |n: usize| -> Result<u64, String> {
         let stream = TcpStream::connect(at).map_err(|e| e.to_string())?;
         let _ = stream.set_nodelay(true);
-        let _ = stream.set_read_timeout(Some(PATIENCE));
+        // A want that comes while the lease is still being freed does not count: it is said again.
+        let _ = stream.set_read_timeout(Some(Duration::from_millis(20)));
         let mut taker = Taker { stream, data: Vec::new() };
         let (fleet, process) = ("cost".to_owned(), n as u64 + 1);
         taker.say(&Say::Hello {
@@ -153,22 +156,28 @@
             zone: "z".into(),
             process,
         })?;
-        taker.until(|w| matches!(w, Word::Welcome { .. }).then_some(()))?;
-        let mut taken = 0;
+        while taker.until(|w| matches!(w, Word::Welcome { .. }).then_some(()))?.is_none() {
+            if begun.elapsed() > PATIENCE {
+                return Err("no welcome".to_owned());
+            }
+        }
+        let (mut taken, mut seq) = (0, 0);
         while begun.elapsed().as_secs_f64() < for_s {
+            seq += 1;
             let wants = vec![format!("t{n}")];
             taker.say(&Say::Keep {
-                seq: taken + 1,
+                seq,
                 wants,
                 held: Vec::new(),
                 figures: None,
                 totals: None,
                 load: None,
             })?;
-            let held = taker.until(|w| match w {
+            let granted = taker.until(|w| match w {
                 Word::Granted { held } => Some(held.clone()),
                 _ => None,
             })?;
+            let Some(held) = granted else { continue };
             taker.say(&Say::GiveBack { held, failed: false, pass_on: false })?;
             taken += 1;
         }
