--- a/lab/src/fleet/routers.rs
+++ b/lab/src/fleet/routers.rs
@@ -1,5 +1,5 @@
-//! Routers of a fleet of processes: requests at an even pace to doors in turn, each with its answer counted. Some walk on
-//! when they are refused, and all hold each request to one final answer.
+//! Routers of a fleet of processes: requests at an even pace to doors in turn, each with its answer counted. They
+//! send each once, and hold it to one final answer.
 
 use crate::callers::Asked;
 use crate::executor::Work;
--- a/lab/src/fleet/storm.rs
+++ b/lab/src/fleet/storm.rs
@@ -236,7 +236,7 @@
             dependency.share = shape.slots_each;
         }
         let mut out = Vec::new();
-        let worker = Worker {
+        Worker {
             core: Core::new(settings, 0.0, RESULT_BYTES, &mut out),
             executor: Executor::new(experiment.executor.clone(), Vec::new()),
             side: Side::new(0.0, shape.slots_each, 0.1),
@@ -248,11 +248,10 @@
             poor: BTreeMap::new(),
             due: BTreeMap::new(),
             inbox: Vec::new(),
-        };
-        (worker, out)
+        }
     };
     let mut world = World {
-        workers: (0..shape.workers).map(|n| worker(n).0).collect(),
+        workers: (0..shape.workers).map(worker).collect(),
         service: Service {
             slots: shape.slots_each * shape.workers as f64,
             call_s: experiment.records.call_ms / 1000.0,
