--- /dev/null
+++ b/src/net/peers/ajp/tests.rs
@@ -0,0 +1,91 @@
+use super::*;
+
+fn sample() -> Forward<'static> {
+    Forward {
+        method: "POST",
+        uri: "/portal/submit",
+        server_name: "portal.example",
+        headers: vec![("content-length", b"5"), ("X-Operation-Key", b"k1")],
+        remote_user: Some("anna"),
+        secret: Some(b"s3"),
+    }
+}
+
+#[test]
+fn a_forward_request_is_read_as_it_was_written_and_known_headers_are_coded() {
+    let bytes = write_forward(&sample()).unwrap();
+    assert!(bytes.windows(2).any(|w| w == [0xA0, 0x08]));
+    assert!(!bytes.windows(14).any(|w| w.eq_ignore_ascii_case(b"content-length")));
+    let range = packet(&bytes, Way::ToContainer).unwrap().unwrap();
+    assert_eq!(to_container(&bytes[range]).unwrap(), ToContainer::Forward(Box::new(sample())));
+}
+
+#[test]
+fn every_cut_of_a_message_is_partial_or_bad_and_never_a_panic() {
+    let bytes = write_forward(&sample()).unwrap();
+    for n in 0..bytes.len() {
+        assert_eq!(packet(&bytes[..n], Way::ToContainer), Ok(None));
+        if n > 4 {
+            assert!(to_container(&bytes[4..n]).is_err(), "{n}");
+        }
+    }
+    for i in 4..bytes.len() {
+        let mut odd = bytes.clone();
+        odd[i] = odd[i].wrapping_add(0x91);
+        let _ = to_container(&odd[4..]);
+        let _ = to_web_server(&odd[4..]);
+    }
+}
+
+#[test]
+fn bytes_of_the_published_protocol_are_read() {
+    // GET / HTTP/1.1 for host "h", one coded header, a query string, an attribute, a key size.
+    let mut payload = vec![2, 2];
+    let string = |p: &mut Vec<u8>, s: &[u8]| {
+        p.extend([0, s.len() as u8]);
+        p.extend(s);
+        p.push(0);
+    };
+    string(&mut payload, b"HTTP/1.1");
+    string(&mut payload, b"/");
+    string(&mut payload, b"10.0.0.1");
+    payload.extend([0xFF, 0xFF]);
+    string(&mut payload, b"h");
+    payload.extend([0, 80, 0, 0, 1, 0xA0, 0x0B]);
+    string(&mut payload, b"h");
+    payload.push(5);
+    string(&mut payload, b"a=1");
+    payload.push(0x0A);
+    string(&mut payload, b"AJP_REMOTE_PORT");
+    string(&mut payload, b"4711");
+    payload.extend([0x0B, 1, 0, 0xFF]);
+    let Ok(ToContainer::Forward(f)) = to_container(&payload) else { panic!("not read") };
+    assert_eq!((f.method, f.uri, f.server_name), ("GET", "/", "h"));
+    assert_eq!(f.headers, vec![("host", &b"h"[..])]);
+    assert_eq!(to_container(&[10]), Ok(ToContainer::CPing));
+}
+
+#[test]
+fn wrong_magic_and_wrong_length_are_told_apart() {
+    assert_eq!(packet(b"AB\0\x01\x09", Way::ToContainer), Err(Bad::Magic));
+    assert_eq!(packet(&[0x12, 0x34, 0xFF, 0xFF], Way::ToContainer), Err(Bad::Length));
+    assert_eq!(packet(&[0x12, 0x34, 0, 0], Way::ToContainer), Ok(Some(4..4)));
+    assert_eq!(body(&[0, 9, 1]), Err(Bad::Message));
+}
+
+#[test]
+fn answers_are_read_as_they_were_written() {
+    let head = write_headers(503, "Busy", &[("Content-Length", "0".into()), ("Retry-After", "1".into())]);
+    let expected: Vec<(&str, &[u8])> = vec![("Content-Length", b"0"), ("Retry-After", b"1")];
+    assert_eq!(
+        to_web_server(&head.unwrap()[4..]),
+        Ok(ToWebServer::Headers { status: 503, headers: expected })
+    );
+    let mut chunk = chunk_head(3);
+    chunk.extend(b"abc\0");
+    assert_eq!(packet(&chunk, Way::ToWebServer), Ok(Some(4..chunk.len())));
+    assert_eq!(to_web_server(&chunk[4..]), Ok(ToWebServer::Chunk(b"abc")));
+    assert_eq!(to_web_server(&write_end(true)[4..]), Ok(ToWebServer::End { reuse: true }));
+    assert_eq!(to_web_server(&write_get_body(77)[4..]), Ok(ToWebServer::GetBody(77)));
+    assert_eq!(to_web_server(&write_cpong()[4..]), Ok(ToWebServer::CPong));
+}
--- /dev/null
+++ b/src/net/peers/records/tests.rs
@@ -0,0 +1,74 @@
+use super::*;
+use crate::net::base::poll::Gathered;
+use calloop::EventLoop;
+use std::io::{Read, Write};
+use std::time::Duration;
+
+#[test]
+fn replies_are_read_whole_and_only_the_mark_proves_that_a_call_never_ran() {
+    let outcome = |head: &str| {
+        let text = format!("HTTP/1.1 {head}\r\nContent-Length: 2\r\n\r\nok");
+        assert!(parse(&text.as_bytes()[..text.len() - 1]).unwrap().is_none());
+        parse(text.as_bytes()).unwrap().unwrap().outcome
+    };
+    assert_eq!(outcome("200 OK"), Outcome::Ok);
+    assert_eq!(outcome("503 Busy\r\nOp-Not-Begun: 1"), Outcome::Full);
+    assert_eq!(outcome("503 Busy"), Outcome::Error);
+    assert_eq!(outcome("500 No"), Outcome::Error);
+    assert_eq!(outcome("504 Late"), Outcome::TimedOut);
+    assert_eq!(outcome("409 Gone\r\nOp-Not-Begun: 1"), Outcome::TooLate);
+    assert!(parse(b"nonsense\r\n\r\n").is_err());
+    assert_eq!(outcome("100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 200 OK"), Outcome::Ok);
+    // Noise, an endless head, lengths that do not fit: told at once, whatever else would come.
+    for bad in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\n\r\nok",
+        &format!("HTTP/1.1 200 OK\r\nA: {}", "a".repeat(HEAD_MOST)),
+        &"HTTP/1.1 100 Continue\r\n\r\n".repeat(HEAD_MOST / 20),
+    ] {
+        assert!(parse(bad.as_bytes()).is_err(), "{bad:.60}");
+    }
+}
+
+/// One wait of a loop of its own, and what the pool makes of it.
+fn turn(events: &mut EventLoop<Gathered>, records: &mut Records, wheel: &mut Wheel) -> Vec<Input> {
+    let (mut gathered, mut inputs) = (Gathered::default(), Vec::new());
+    events.dispatch(Some(Duration::from_millis(5)), &mut gathered).unwrap();
+    for (place, readable, writable) in gathered.take() {
+        if let Place::Records(id) = place {
+            records.mark(id, readable, writable);
+        }
+    }
+    records.gather(0.0, &mut inputs, wheel, &mut Log::default());
+    inputs
+}
+
+/// It lay there until the loop woke for something else.
+#[test]
+fn a_call_on_a_kept_connection_leaves_without_an_event() {
+    let mut events: EventLoop<Gathered> = EventLoop::try_new().unwrap();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut records = Records::new(&Poll::new(events.handle(), 8), listener.local_addr().unwrap());
+    let mut wheel = Wheel::new(0.0);
+    let body: Rc<[u8]> = Rc::from(*b"first");
+    records.call(0.0, "r1".into(), body, 5.0, true, &mut wheel);
+    let (mut service, _) = listener.accept().unwrap();
+    service.set_read_timeout(Some(Duration::from_secs(15))).unwrap();
+    turn(&mut events, &mut records, &mut wheel);
+    let mut bytes = [0; 1024];
+    let n = service.read(&mut bytes).unwrap();
+    assert!(bytes[..n].ends_with(b"first"));
+    service.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
+    let ended = (0..1000).find_map(|_| turn(&mut events, &mut records, &mut wheel).pop());
+    assert!(matches!(ended, Some(Input::CallEnded { outcome: Outcome::Ok, .. })), "{ended:?}");
+    assert!(!records.pending());
+    // Now without another wait of the loop.
+    records.call(1.0, "r2".into(), Rc::from(*b"second"), 5.0, true, &mut wheel);
+    assert!(records.pending());
+    records.gather(1.0, &mut Vec::new(), &mut wheel, &mut Log::default());
+    let n = service.read(&mut bytes).unwrap();
+    assert!(bytes[..n].ends_with(b"second"));
+}
