--- a/src/brain.rs
+++ b/src/brain.rs
@@ -395,7 +395,7 @@
             Event::RunEnded { id, outcome } => self.run_ended(id, outcome),
             Event::AtCall(id) => self.at_call(id, out),
             Event::CallEnded { id, outcome } => self.call_ended(id, outcome, out),
-            Event::Leave { in_s } => self.leave = Some((now, now + in_s)),
+            Event::Leave { ago_s, in_s } => self.leave = Some((now - ago_s, now + in_s)),
             Event::Woken(gauges) => self.woken(&gauges, out),
             Event::Pools(plan) => self.set_pools(plan),
             Event::Beside { on_cores, calling, kb } => self.beside = (on_cores, calling, kb),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -275,8 +275,8 @@
         if self.limits.sockets < RESERVED_SOCKETS * 2 {
             return Err(format!("limits.sockets must be at least {}", RESERVED_SOCKETS * 2));
         }
-        if !(self.stop_ms.is_finite() && self.stop_ms > 0.0) {
-            return wrong("stop_ms must be above 0");
+        if !(self.stop_ms.is_finite() && self.stop_ms >= 0.0) {
+            return wrong("stop_ms must be 0 or more");
         }
         Ok(())
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -100,9 +100,13 @@
     RunsLost,
     /// The connection on which this answer is owed has been torn down.
     Gone(Ticket),
+    /// The notice to leave, and how long ago it came.
     Leave {
+        ago_s: f64,
         in_s: f64,
     },
+    /// The process is about to end: all that is owed is answered now.
+    LastCall,
     Woken(Gauges),
     /// The operator's pools are others from now on, or none.
     Pools(Option<PoolPlan>),
@@ -409,7 +413,8 @@
                     self.run_ended(id, Outcome::Error, None, events, out);
                 }
             }
-            Input::Leave { in_s } => events.push_back(Event::Leave { in_s }),
+            Input::Leave { ago_s, in_s } => events.push_back(Event::Leave { ago_s, in_s }),
+            Input::LastCall => self.last_call(events, out),
             Input::Woken(gauges) => events.push_back(Event::Woken(gauges)),
             Input::Pools(plan) => events.push_back(Event::Pools(plan)),
             Input::Key(news) => self.adopt_key(&news, events, out),
@@ -576,6 +581,23 @@
         self.end_all(over, &answer, Outcome::TooLate, events, out);
     }
 
+    /// Answers all that is owed: what may have run has failed, and what has not is turned away. Guards against a stop
+    /// that leaves the module no time to give up by itself.
+    fn last_call(&mut self, events: &mut VecDeque<Event>, out: &mut Vec<Command>) {
+        let shares: HashSet<RequestId> = self.keys.waiting().collect();
+        let owed = self.requests.iter().filter(|(_, h)| !h.answered);
+        let mut owed: Vec<(RequestId, bool)> =
+            owed.map(|(id, h)| (*id, h.started || shares.contains(id))).collect();
+        owed.sort_unstable();
+        for (id, may_have_run) in owed {
+            self.answer(id, if may_have_run { Answer::Failed } else { refused() }, out);
+            if !may_have_run {
+                events.push_back(Event::CallerGone(id));
+                self.gone.push(id);
+            }
+        }
+    }
+
     fn share(&mut self, id: RequestId, events: &mut VecDeque<Event>, out: &mut Vec<Command>) {
         let key = self.requests.get(&id).and_then(|h| h.key.clone());
         let progress = match key.and_then(|k| self.keys.get_mut(&k)) {
@@ -600,8 +622,8 @@
         for action in actions.drain(..) {
             match action {
                 Action::Start(id) => {
-                    let Some(held) = self.requests.get_mut(&id) else {
-                        // It was lent to another process a moment ago.
+                    let Some(held) = self.requests.get_mut(&id).filter(|h| !h.answered) else {
+                        // It was lent to another process a moment ago, or answered because the process ends.
                         events.push_back(Event::RunEnded { id, outcome: Outcome::TooLate });
                         continue;
                     };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -320,6 +320,8 @@
     },
     /// Notice to leave: the worker will be stopped after this time (seconds).
     Leave {
+        /// How long ago it came.
+        ago_s: f64,
         /// Time to the stop.
         in_s: f64,
     },
--- a/src/net/fronts/ajp_front.rs
+++ b/src/net/fronts/ajp_front.rs
@@ -118,7 +118,8 @@
                 // After a wrong magic or length there is no telling where a message begins.
                 Err(bad) => {
                     turn.log.line(&format!("ajp: closed for a bad packet: {bad:?}"));
-                    return self.connections.close(id);
+                    c.finish(now);
+                    continue;
                 }
             };
             let consumed = range.end;
@@ -126,7 +127,8 @@
                 let chunk = c.link.data().get(range).map(ajp::body);
                 let Some(Ok(chunk)) = chunk else {
                     turn.log.line("ajp: closed for a bad body packet");
-                    return self.connections.close(id);
+                    c.finish(now);
+                    continue;
                 };
                 let (ended, room) = (chunk.is_empty(), BODY_MOST + BODY_CHUNK_MOST);
                 if let Some(p) = c.memory.0.as_mut().filter(|p| p.body.len() < room) {
@@ -155,7 +157,8 @@
                 }
                 _ => {
                     turn.log.line("ajp: closed for a message that can't be read");
-                    return self.connections.close(id);
+                    c.finish(now);
+                    continue;
                 }
             };
             c.link.consume(consumed);
@@ -239,6 +242,13 @@
         }
     }
 
+    /// The directory's word comes too late for whoever still waits for it: they are told to come back.
+    pub fn give_up_lookups(&mut self, turn: &mut Turn) {
+        for id in self.connections.ids_where(|c| c.stage == Stage::Asked && c.memory.0.is_some()) {
+            self.found(Ticket(id), Found::Down, turn);
+        }
+    }
+
     /// Takes the directory's word on the tenant of a request.
     pub fn found(&mut self, ticket: Ticket, found: Found, turn: &mut Turn) {
         let Some(c) = self.connections.get_mut(ticket.0) else { return };
--- a/src/net/fronts/connections.rs
+++ b/src/net/fronts/connections.rs
@@ -1,4 +1,10 @@
-//! What all fronts share: accepting, the stages of a connection, and closing what is idle or too slow.
+//! What all fronts share: accepting, the stages of a connection, and the one way to close.
+//!
+//! A close over unread bytes is a reset, and a reset takes answers with it that the peer has not read. So every close
+//! that this side begins goes one way, the lingering close of RFC 9112, section 9.6: read until nothing is there; what
+//! came is looked at by the front, and served; else the writing side is ended (half-close), what still comes is dropped
+//! unread by anybody, and the socket is closed when the peer has ended too or a short bound is over. What is dropped
+//! never reaches the core: its answer could not be read, and whoever sent it sees that the connection had ended.
 
 use crate::core::{Input, Ticket};
 use crate::net::base::buffer::{Filled, Link};
@@ -12,6 +18,9 @@
 /// How long a request may take to come in whole, and the first one of a connection from its very start: a peer that
 /// is silent or sends half a request is closed within 3 s (seconds).
 const SLOW_REQUEST_S: f64 = 2.0;
+/// How much longer one that still sends of its request may put that off: guards against a peer whose next byte is
+/// always on its way (seconds).
+const NEWS_S: f64 = 0.5;
 /// How long an answer may take to be taken (seconds).
 const SLOW_ANSWER_S: f64 = 10.0;
 /// How long a peer that goes on sending after its refusal is read, so that the close does not reset the answer
@@ -27,6 +36,9 @@
 /// A connection that asked once and has rested for so long may be closed for a new one: a request that crosses the close
 /// within that time is sent again by whoever sent it (seconds).
 const CROSSING_S: f64 = 0.05;
+/// Callers close idle connections themselves after the time that the settings name. Ours wait so much longer: else both
+/// ends would close at once, just when the next request crosses (seconds).
+const IDLE_MARGIN_S: f64 = 2.0;
 /// After so long an idle connection keeps no buffers (seconds).
 const REST_S: f64 = 1.0;
 
@@ -62,6 +74,8 @@
     asked: u32,
     /// To be closed after this answer.
     pub close: bool,
+    /// Bytes have come that its front has not looked at.
+    unseen: bool,
     pub memory: P,
 }
 
@@ -91,11 +105,7 @@
                 Stage::Asked if self.link.fill() == Filled::Broken => return Next::Close,
                 Stage::Asked | Stage::Lent => return Next::Wait,
                 Stage::Answering if self.link.queued() > 0 => return Next::Wait,
-                Stage::Answering if self.close => {
-                    self.link.end_writing();
-                    self.heard = now;
-                    self.step(now, Stage::Closing);
-                }
+                Stage::Answering if self.close => self.half_close(now),
                 Stage::Answering => self.step(now, Stage::Idle),
                 Stage::Closing => {
                     let (filled, came) = self.link.discard(DROP_MOST);
@@ -114,6 +124,44 @@
         Next::Later
     }
 
+    /// Nothing more is taken from it: what is queued is written, then it is closed.
+    pub fn finish(&mut self, now: f64) {
+        self.close = true;
+        self.step(now, Stage::Answering);
+    }
+
+    /// Ends the writing side. From here on nothing that comes is read as a request.
+    fn half_close(&mut self, now: f64) {
+        self.link.end_writing();
+        self.heard = now;
+        self.step(now, Stage::Closing);
+    }
+
+    /// Reads what came since its front last looked; `true` if anything did, or the peer has ended.
+    /// Guards against a decision to close that rests on what the loop saw a moment ago.
+    fn has_news(&mut self) -> bool {
+        let before = self.link.data().len();
+        self.link.mark(true, false);
+        let filled = self.link.fill();
+        self.unseen |= self.link.data().len() > before;
+        self.unseen || filled != Filled::Open
+    }
+
+    /// Whether a connection that is being closed is still waited for.
+    fn lingers(&mut self, now: f64) -> bool {
+        let lingers = now - self.heard < LINGER_S && now - self.since < LINGER_MOST_S;
+        if !lingers {
+            self.drop_unread();
+        }
+        lingers
+    }
+
+    /// Nothing is left unread by the close that follows, so far as it has come.
+    fn drop_unread(&mut self) {
+        self.link.mark(true, false);
+        self.link.discard(DROP_MOST);
+    }
+
     /// Since when it is in its stage (seconds).
     pub fn since(&self) -> f64 {
         self.since
@@ -238,7 +286,8 @@
         };
         let Parcel { asked, close, memory, .. } = parcel;
         let (since, opened, heard) = (now, now, now);
-        self.all.insert(id, Connection { link, stage, since, opened, heard, asked, close, memory });
+        let unseen = !link.data().is_empty();
+        self.all.insert(id, Connection { link, stage, since, opened, heard, asked, close, unseen, memory });
         self.touched.push(id);
         Some(id)
     }
@@ -275,15 +324,34 @@
         }
     }
 
+    /// Lets nobody in any more; another process goes on listening at the same socket.
     pub fn stop_listening(&mut self) {
         self.acceptor = None;
     }
 
-    /// Whether all that was asked has been answered and written out.
+    /// Lets nobody in any more, and nobody else listens: whoever the system has accepted by now is taken in first,
+    /// since the close of the socket resets what waits there, requests and all. Between the last look and the close
+    /// there is no more than a system call. `false` where some may still wait, until others have been looked at.
+    pub fn close_door(&mut self, now: f64) -> bool {
+        // The system knows better than what the loop saw a moment ago.
+        self.mark_listener();
+        if self.accept(now) {
+            return false;
+        }
+        self.acceptor = None;
+        true
+    }
+
+    /// Whether all that was asked has been answered and written out, and nothing is on its way in.
     pub fn quiet(&self) -> bool {
         self.all.values().all(|c| matches!(c.stage, Stage::Idle | Stage::Closing | Stage::Lent))
     }
 
+    /// Whether nobody is left who has not ended too; what another process holds is its.
+    pub fn all_ended(&self) -> bool {
+        self.all.values().all(|c| c.stage == Stage::Lent)
+    }
+
     /// Whether a connection has news that the loop has not told of.
     pub fn pending(&self) -> bool {
         !self.touched.is_empty()
@@ -330,6 +398,11 @@
         let mut touched = std::mem::take(&mut self.touched);
         touched.sort_unstable();
         touched.dedup();
+        for id in &touched {
+            if let Some(c) = self.all.get_mut(id) {
+                c.unseen = false;
+            }
+        }
         touched
     }
 
@@ -351,6 +424,8 @@
                 },
                 Accepted::Pause => return true,
             };
+            // Closed with its request unread, which is then a reset: as for a refused connection, nothing has run. Its
+            // front is full of connections that are busy, and one more to answer on is what its bound forbids.
             if self.all.len() >= self.most && !matches!(self.make_room(now), Room::Made) {
                 continue;
             }
@@ -359,9 +434,12 @@
                 continue;
             }
             if let Ok(link) = Link::new(&self.poll, stream, (self.place)(id), self.room) {
-                let (stage, close, memory) = (Stage::Idle, false, P::default());
+                let (stage, close, unseen, memory) = (Stage::Idle, false, false, P::default());
                 let (since, opened, heard, asked) = (now, now, now, 0);
-                self.all.insert(id, Connection { link, stage, since, opened, heard, asked, close, memory });
+                self.all.insert(
+                    id,
+                    Connection { link, stage, since, opened, heard, asked, close, unseen, memory },
+                );
                 self.touched.push(id);
             }
         }
@@ -370,40 +448,87 @@
 
     /// Closes one connection for another. Guards routers against a flood of silent clients: what has just been
     /// accepted is looked at before a connection of the last rank goes.
+    ///
+    /// There is no descriptor to linger with: one that rests goes at once. That is safe where nothing lies unread, so
+    /// it is read first; one whose request has just come stays and is looked at.
     fn make_room(&mut self, now: f64) -> Room {
-        let unseen = self.all.values().any(|c| c.opened == now);
-        let ranked = self.all.iter().filter_map(|(id, c)| Some((c.rank(now, self.silent_s)?, c.since, *id)));
-        match ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))) {
-            Some((LAST_RANK, ..)) | None if unseen => Room::Later,
-            Some((.., id)) => {
-                self.all.remove(&id);
-                Room::Made
+        let just_come = self.all.values().any(|c| c.opened == now);
+        loop {
+            let unseen = self.all.values().any(|c| c.unseen);
+            let ranked = self.all.iter().filter(|(_, c)| !c.unseen);
+            let ranked = ranked.filter_map(|(id, c)| Some((c.rank(now, self.silent_s)?, c.since, *id)));
+            match ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))) {
+                Some((LAST_RANK, ..)) | None if just_come || unseen => return Room::Later,
+                Some((.., id)) => {
+                    let Some(c) = self.all.get_mut(&id) else { return Room::None };
+                    if c.stage == Stage::Closing {
+                        c.drop_unread();
+                    } else if c.has_news() && c.unseen {
+                        self.touched.push(id);
+                        continue;
+                    }
+                    self.all.remove(&id);
+                    return Room::Made;
+                }
+                None => return Room::None,
             }
-            None => Room::None,
         }
     }
 
-    /// Closes what has been idle for long, and peers that are too slow to send or to read.
+    /// Ends what has been idle for long, and peers that are too slow to send or to read. With `leaving`, all that rest.
+    /// What has news is looked at instead: see [`Connections::pending`].
     pub fn sweep(&mut self, now: f64, idle_s: f64, leaving: bool) {
-        self.all.retain(|_, c| {
+        let touched = &mut self.touched;
+        self.all.retain(|id, c| {
             let lasts = now - c.since;
-            match c.stage {
-                Stage::Idle if c.asked == 0 => now - c.opened < SLOW_REQUEST_S && !leaving,
-                Stage::Reading if c.asked == 0 => now - c.opened < SLOW_REQUEST_S,
+            let over = match c.stage {
+                Stage::Idle if c.asked == 0 => leaving || now - c.opened >= SLOW_REQUEST_S,
+                Stage::Reading if c.asked == 0 => now - c.opened >= SLOW_REQUEST_S,
                 Stage::Idle => {
                     if lasts > REST_S {
                         c.link.shrink();
                     }
-                    lasts < idle_s && !leaving
+                    leaving || lasts >= idle_s + IDLE_MARGIN_S
                 }
-                Stage::Reading => lasts < SLOW_REQUEST_S,
-                Stage::Asked | Stage::Lent => true,
-                Stage::Answering => lasts < SLOW_ANSWER_S,
-                Stage::Closing => now - c.heard < LINGER_S && lasts < LINGER_MOST_S,
+                Stage::Reading => lasts >= SLOW_REQUEST_S,
+                Stage::Asked | Stage::Lent => false,
+                // It takes nothing, so there is nothing that a gentler end could bring to it.
+                Stage::Answering => return lasts < SLOW_ANSWER_S,
+                Stage::Closing => return c.lingers(now),
+            };
+            if over && lasts >= SLOW_REQUEST_S + NEWS_S && c.stage == Stage::Reading {
+                c.finish(now);
+                touched.push(*id);
+            } else if over {
+                end(*id, c, now, touched);
             }
+            true
         });
         self.all.shrink_to(4 * self.all.len());
     }
+
+    /// The process is about to end: all that rest are ended, with `at_once` those too that have sent half a request.
+    pub fn end_all(&mut self, now: f64, at_once: bool) {
+        for (id, c) in &mut self.all {
+            if c.stage == Stage::Idle || at_once && c.stage == Stage::Reading {
+                end(*id, c, now, &mut self.touched);
+            }
+        }
+    }
+
+    /// The last act before the process ends: what lies unread would make its end a reset.
+    pub fn drop_unread(&mut self) {
+        self.all.values_mut().filter(|c| c.stage != Stage::Lent).for_each(Connection::drop_unread);
+    }
+}
+
+/// Begins the lingering close, unless there is news: then the front looks first, and the next try decides anew. What
+/// comes is bounded by the buffer, so that no peer can put its end off for long.
+fn end<P>(id: u64, c: &mut Connection<P>, now: f64, touched: &mut Vec<u64>) {
+    if !c.has_news() {
+        c.finish(now);
+    }
+    touched.push(id);
 }
 
 impl<P: Default + Copy> Connections<P> {
--- a/src/net/fronts/connections/tests.rs
+++ b/src/net/fronts/connections/tests.rs
@@ -21,7 +21,9 @@
 
     fn open(&mut self, opened: f64, asked: u32, rests_since: f64) -> u64 {
         self.clients.push(TcpStream::connect(self.listener.local_addr().unwrap()).unwrap());
-        let stream = self.listener.accept().unwrap().0.into();
+        let stream = self.listener.accept().unwrap().0;
+        stream.set_nonblocking(true).unwrap();
+        let stream = stream.into();
         let parcel = Parcel { stream, unread: Vec::new(), asked, close: false, memory: () };
         let id = self.connections.adopt(opened, parcel, false).unwrap();
         self.connections.get_mut(id).unwrap().step(rests_since, Stage::Idle);
--- a/src/net/fronts/http2/mod.rs
+++ b/src/net/fronts/http2/mod.rs
@@ -101,7 +101,7 @@
             self.lobby.keep(|id| self.connections.owns(id));
             while let Some(moved) = self.lobby.move_up(now) {
                 if let Some(id) = moved.out {
-                    self.close(id, inputs);
+                    self.finish(id, now, inputs);
                 }
                 self.connections.touch(moved.seated);
             }
@@ -116,6 +116,10 @@
         let now = clock.now();
         let Some(c) = self.connections.get_mut(id) else { return };
         if c.stage == Stage::Closing || c.stage == Stage::Answering {
+            // Swept: whatever its codec still has to say is said before the end.
+            if c.memory.session.is_some() {
+                return self.finish(id, now, inputs);
+            }
             match c.settle(now) {
                 Next::Close => self.close(id, inputs),
                 Next::Later => self.connections.touch(id),
@@ -250,8 +254,7 @@
                 c.link.push(output);
             }
         }
-        c.close = true;
-        c.step(now, Stage::Answering);
+        c.finish(now);
         self.connections.touch(id);
     }
 
@@ -312,7 +315,7 @@
                 over.push(id);
             }
         }
-        over.into_iter().for_each(|id| self.close(id, inputs));
+        over.into_iter().for_each(|id| self.finish(id, now, inputs));
         self.connections.touch_all();
     }
 
--- a/src/net/life/leaving.rs
+++ b/src/net/life/leaving.rs
@@ -1,22 +1,27 @@
-//! Closing what is idle or too slow, and the notice to leave: the door, the grace, the end.
+//! The graceful shutdown: the notice to leave, the door, the grace, the end. Also the sweep of connections.
+
+mod timeline;
 
 use crate::core::{Core, Input};
 use crate::handover::Event;
 use crate::net::base::wheel::Timer;
+use crate::net::fronts::ajp_front::Turn;
 use crate::net::Worker;
+use timeline::Timeline;
 
-/// After the grace of a drain, how long crossing requests may still come in before the end (seconds), and how
-/// long before the stop the process ends at the latest.
+/// How long the door has been closed when connections that rest are ended for good: a request that crosses the close
+/// within 50 ms is sent anew by whoever sent it, and must be readable as lost until then (seconds).
 const CROSSING_S: f64 = 0.15;
-const STOP_MARGIN_S: f64 = 0.05;
-/// The door closes this long before the stop at the latest, where the grace reaches beyond it (seconds).
-const CLOSE_MARGIN_S: f64 = 0.4;
+/// How long the process waits for peers to end too, once all answers are written (seconds).
+const LINGER_S: f64 = 0.3;
+/// Looks at the accept queues before the doors close: each takes in some dozens, and the system keeps a thousand.
+const ACCEPT_LOOKS: usize = 64;
 
 /// The notice to leave, as this loop follows it.
 pub(in crate::net) struct Leaving {
-    pub(in crate::net) notice: f64,
-    pub(in crate::net) stop: f64,
+    pub(in crate::net) at: Timeline,
     pub(in crate::net) closed: Option<f64>,
+    called: bool,
 }
 
 impl Worker {
@@ -30,13 +35,16 @@
         self.door(now, Event::Leave, inputs);
         let in_s = self.config.stop_ms / 1000.0;
         self.log.line(&format!("notice to leave; {in_s} s to the stop"));
-        self.leaving = Some(Leaving { notice: now, stop: now + in_s, closed: None });
-        // The loop must look at the door, at the end and at the stop even if nothing else wakes it.
-        for after in [self.settings.leave_grace_s, in_s - CLOSE_MARGIN_S, in_s - STOP_MARGIN_S] {
-            self.wheel.set(now, after, Timer::Again);
+        // It may have come at any time since the turn before began: a process that was stopped meanwhile reads it late,
+        // and its grace and its stop count from when it was sent.
+        let at = Timeline::new(self.turn_before, in_s, self.settings.leave_grace_s);
+        self.leaving = Some(Leaving { at, closed: None, called: false });
+        // The loop must look at each of these even if nothing else wakes it.
+        for at in [at.door, at.last_call, at.end] {
+            self.wheel.set(now, at - now, Timer::Again);
         }
         self.state.leaving = true;
-        inputs.push(Input::Leave { in_s });
+        inputs.push(Input::Leave { ago_s: now - at.notice, in_s: at.stop - now });
         if let Some(http2) = &mut self.http2 {
             // Each connection is told to go.
             http2.connections.touch_all();
@@ -44,7 +52,7 @@
         self.beat(false);
     }
 
-    /// Closes what is idle or too slow. Only after all that is ready has been read: guards requests that lay unread
+    /// Ends what is idle or too slow. Only after all that is ready has been read: guards requests that lay unread
     /// while this process was stopped.
     pub(in crate::net) fn sweep(&mut self) {
         let now = self.clock.now();
@@ -52,7 +60,6 @@
         self.sweep_fronts(now, closing || self.state.passing);
         if let Some(http2) = &mut self.http2 {
             http2.sweep(now, self.state.draining, &mut self.left_over, &mut self.log);
-            self.wheel.set(now, 0.0, Timer::Again);
         }
         if let Some(s) = &mut self.servers {
             s.sweep(now);
@@ -60,6 +67,10 @@
         if let Some(r) = &mut self.records {
             r.sweep(now);
         }
+        // What the sweep has found something on is looked at soon.
+        if self.pending() {
+            self.wheel.set(now, 0.0, Timer::Again);
+        }
     }
 
     pub(in crate::net) fn sweep_fronts(&mut self, now: f64, leaving: bool) {
@@ -76,32 +87,28 @@
         }
     }
 
-    /// Closes the door when nothing more may be run, and ends when all is answered and written.
+    /// Closes the door when nothing more may be run, and ends when all is answered, written and read.
     pub(in crate::net) fn follow_leaving(&mut self) {
         let now = self.clock.now();
-        let grace_s = self.settings.leave_grace_s;
-        let closes =
-            |l: &Leaving| l.closed.is_none() && now >= (l.notice + grace_s).min(l.stop - CLOSE_MARGIN_S);
-        if let Some(leaving) = self.leaving.as_mut().filter(|l| closes(l)) {
-            leaving.closed = Some(now);
-            self.http.connections.stop_listening();
-            if let Some(ajp) = &mut self.ajp {
-                ajp.connections.stop_listening();
-            }
-            if let Some(http2) = &mut self.http2 {
-                http2.connections.stop_listening();
-            }
+        let Some(Leaving { at, closed, called }) = self.leaving else { return };
+        if closed.is_none() && now >= at.door {
+            self.close_doors(now);
             self.sweep_fronts(now, true);
-            // Wakes the loop for the end itself.
+            self.note(|l| l.closed = Some(now));
+            // What was still taken in, and what came just now, is answered.
+            self.rounds(Vec::new());
             self.wheel.set(now, CROSSING_S, Timer::Again);
         }
-        let answered = self.core.as_ref().map_or(0, Core::owed) == 0
-            && self.http.connections.quiet()
-            && self.ajp.as_ref().map_or(true, |a| a.connections.quiet())
-            && self.http2.as_ref().map_or(true, |h| h.connections.quiet());
-        let Some(leaving) = &self.leaving else { return };
-        let crossed = leaving.closed.is_some_and(|at| now >= at + CROSSING_S);
-        if crossed && answered || now >= leaving.stop - STOP_MARGIN_S {
+        if !called && now >= at.last_call {
+            self.note(|l| l.called = true);
+            self.last_call();
+        }
+        let last = now >= at.last_call;
+        let closed = self.leaving.as_ref().and_then(|l| l.closed);
+        let crossed = closed.is_some_and(|at| now >= at + CROSSING_S);
+        let answered = self.all_answered();
+        let over = (crossed && answered || last) && self.end_connections(now, last);
+        if over || now >= at.end {
             if let Some(Ok(state)) =
                 self.core.as_ref().and_then(Core::pools).map(|s| serde_json::to_string(&s))
             {
@@ -111,7 +118,96 @@
                 r.links.leave();
             }
             self.log.line(if answered { "left with all answered" } else { "left with answers owed" });
-            self.done = true;
+            self.end(now);
+        }
+    }
+
+    fn note(&mut self, change: impl FnOnce(&mut Leaving)) {
+        if let Some(leaving) = &mut self.leaving {
+            change(leaving);
+        }
+        self.wheel.set(self.clock.now(), 0.0, Timer::Again);
+    }
+
+    /// Nothing is owed, everything is written, and no half request is waited for.
+    fn all_answered(&self) -> bool {
+        self.core.as_ref().map_or(0, Core::owed) == 0
+            && self.http.connections.quiet()
+            && self.ajp.as_ref().map_or(true, |a| a.connections.quiet())
+            && self.http2.as_ref().map_or(true, |h| h.connections.quiet())
+    }
+
+    /// Lets nobody in any more at any front, after all those whom the system has accepted by now.
+    fn close_doors(&mut self, now: f64) {
+        for _ in 0..ACCEPT_LOOKS {
+            let mut closed = self.http.connections.close_door(now);
+            closed &= self.ajp.as_mut().map_or(true, |a| a.connections.close_door(now));
+            closed &= self.http2.as_mut().map_or(true, |h| h.connections.close_door(now));
+            if closed {
+                return;
+            }
+            self.rounds(Vec::new());
+        }
+        self.http.connections.stop_listening();
+        self.ajp.iter_mut().for_each(|a| a.connections.stop_listening());
+        self.http2.iter_mut().for_each(|h| h.connections.stop_listening());
+    }
+
+    /// Answers whatever is still owed: a stop may be too short for the module to give up in time, and a directory may
+    /// be silent.
+    fn last_call(&mut self) {
+        let mut inputs = vec![Input::LastCall];
+        if let Some(ajp) = &mut self.ajp {
+            let (clock, state, log) = (&self.clock, &self.state, &mut self.log);
+            ajp.give_up_lookups(&mut Turn {
+                clock,
+                state,
+                inputs: &mut inputs,
+                lookups: &mut Vec::new(),
+                log,
+            });
+        }
+        self.rounds(inputs);
+    }
+
+    /// Ends all connections that rest, with `at_once` those too that have sent half a request; `true` when their peers
+    /// have ended too, or were waited for long enough.
+    pub(in crate::net) fn end_connections(&mut self, now: f64, at_once: bool) -> bool {
+        self.http.connections.end_all(now, at_once);
+        if let Some(ajp) = &mut self.ajp {
+            ajp.connections.end_all(now, at_once);
+        }
+        if let Some(http2) = &mut self.http2 {
+            http2.connections.end_all(now, at_once);
+        }
+        // Written and read as far as that goes in this turn.
+        if self.pending() {
+            self.rounds(Vec::new());
+        }
+        if self.ended.is_none() {
+            self.ended = Some(now);
+            self.wheel.set(now, LINGER_S, Timer::Again);
+        }
+        let all_ended = self.http.connections.all_ended()
+            && self.ajp.as_ref().map_or(true, |a| a.connections.all_ended())
+            && self.http2.as_ref().map_or(true, |h| h.connections.all_ended());
+        all_ended || self.all_answered() && self.ended.is_some_and(|at| now >= at + LINGER_S)
+    }
+
+    /// The end of the process: operators' calls that have come are answered, and no socket is closed over bytes that
+    /// have come.
+    pub(in crate::net) fn end(&mut self, now: f64) {
+        self.serve_console(now);
+        self.http.connections.drop_unread();
+        if let Some(console) = &mut self.console {
+            console.connections.drop_unread();
+        }
+        if let Some(ajp) = &mut self.ajp {
+            ajp.connections.drop_unread();
+        }
+        if let Some(http2) = &mut self.http2 {
+            http2.connections.drop_unread();
         }
+        self.done = true;
     }
 }
--- /dev/null
+++ b/src/net/life/leaving/timeline/tests.rs
@@ -0,0 +1,28 @@
+use super::*;
+use proptest::prelude::*;
+
+#[test]
+fn with_the_platforms_figures_the_grace_is_kept_whole() {
+    let t = Timeline::new(10.0, 3.2, 2.5);
+    assert_eq!((t.door, t.stop), (12.5, 13.2));
+    assert!(t.last_call > t.door + 0.4 && t.end > t.last_call && t.end < t.stop);
+}
+
+#[test]
+fn a_stop_shorter_than_the_margins_still_leaves_time_for_answers() {
+    let t = Timeline::new(10.0, 0.1, 2.5);
+    assert!(t.door > 10.0 && t.last_call >= t.door && t.end - t.last_call >= 0.019, "{t:?}");
+}
+
+proptest! {
+    /// Whatever a customer's settings say: nobody is let in after the grace, and each step comes before the next.
+    #[test]
+    fn the_order_holds_for_every_stop_and_grace(notice in 0.0..1e6f64, stop_s in 0.0..100.0f64, grace_s in 0.0..100.0f64) {
+        let t = Timeline::new(notice, stop_s, grace_s);
+        let tiny = 1e-6;
+        prop_assert!(t.door <= t.notice + grace_s + tiny);
+        prop_assert!(t.notice <= t.door && t.door <= t.last_call + tiny);
+        prop_assert!(t.last_call <= t.end && t.end <= t.stop);
+        prop_assert!(t.stop <= t.notice + stop_s + tiny);
+    }
+}
--- a/src/net/life/replacing.rs
+++ b/src/net/life/replacing.rs
@@ -303,7 +303,7 @@
                 let longest =
                     self.settings.classes.iter().map(|c| c.deadline_s).fold(LONGEST_LEAST_S, f64::max);
                 // A drain that was under way when the door went has its own stop.
-                let stop = self.leaving.as_ref().map_or(now + longest + KILL_AFTER_S, |l| l.stop);
+                let stop = self.leaving.as_ref().map_or(now + longest + KILL_AFTER_S, |l| l.at.stop);
                 r.ending = Some(stop - END_MARGIN_S);
                 self.wheel.set(now, stop - END_MARGIN_S - now, Timer::Again);
                 self.log.line("handover: told to leave; ends when nothing is owed");
@@ -575,9 +575,10 @@
         let http = &self.http.connections;
         let passed = if r.links.has_new() { http.is_empty() } else { http.quiet() };
         let over = !owed && others && passed && r.links.quiet();
-        if over && !r.door.has_predecessor() || now >= at_most {
+        let over = over && !r.door.has_predecessor();
+        if over && self.end_connections(now, false) || now >= at_most {
             self.log.line(if over { "left with all handed over" } else { "left with answers owed" });
-            self.done = true;
+            self.end(now);
         }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -174,6 +174,10 @@
     registry: Option<Registry>,
     fleet: Option<Fleet>,
     leaving: Option<Leaving>,
+    /// When connections were first ended for the end of the process.
+    ended: Option<f64>,
+    /// When the turn before this one began: what came since may have come at any time.
+    turn_before: f64,
     /// What came up too late in a turn to be handed over in it.
     left_over: Vec<Input>,
     accept_timer: bool,
@@ -317,6 +321,8 @@
             healthy: true,
             core: None,
             leaving: None,
+            ended: None,
+            turn_before: clock.now(),
             left_over: Vec::new(),
             accept_timer: false,
             relink_timer: false,
@@ -425,9 +431,28 @@
         if std::mem::take(&mut gathered.reload) {
             self.reload(now, &mut inputs);
         }
+        self.gather(&mut inputs);
+        // Only now: what has come in time goes before the end of that time, also where both are seen in one turn.
         let mut due = Vec::new();
         self.wheel.expire(now, &mut due);
         due.into_iter().for_each(|timer| self.timer(now, timer, &mut inputs));
+        self.rounds(inputs);
+        self.fleet_turn(now);
+        if std::mem::take(&mut self.sweep_due) {
+            self.sweep();
+        }
+        if self.given_away() {
+            self.follow_ending(now);
+        } else {
+            self.follow_leaving();
+        }
+        self.turn_before = now;
+    }
+
+    /// Gathers what is ready, hands it over, carries out what comes back, until nothing is left that the loop would not
+    /// tell of.
+    fn rounds(&mut self, mut inputs: Vec<Input>) {
+        inputs.splice(0..0, self.left_over.drain(..));
         for round in 0..ROUNDS {
             self.gather(&mut inputs);
             let now = self.clock.now();
@@ -449,17 +474,8 @@
                 self.wheel.set(now, 0.0, Timer::Again);
             }
         }
-        self.fleet_turn(now);
         // Guards the last round's outcomes: a run given back there would otherwise never be answered.
         self.left_over = inputs;
-        if std::mem::take(&mut self.sweep_due) {
-            self.sweep();
-        }
-        if self.given_away() {
-            self.follow_ending(now);
-        } else {
-            self.follow_leaving();
-        }
     }
 
     /// Whether something waits that the loop will not tell of.
@@ -560,8 +576,8 @@
         core.count_earlier(&self.early);
         core.believe(self.replacement.as_ref().map_or(Doubt::None, Replacement::doubt));
         if let Some(leaving) = &self.leaving {
-            let in_s = leaving.stop - now;
-            core.handle(now, [Input::Leave { in_s }], &mut commands);
+            let (ago_s, in_s) = (now - leaving.at.notice, leaving.at.stop - now);
+            core.handle(now, [Input::Leave { ago_s, in_s }], &mut commands);
         }
         self.core = Some(core);
         for command in commands {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -279,7 +279,7 @@
             Item::DepReply { req, disposition } => {
                 Event::CallEnded { id: self.names.find(&req), outcome: outcome(&disposition) }
             }
-            Item::Sigterm { remaining } => Event::Leave { in_s: remaining },
+            Item::Sigterm { remaining } => Event::Leave { ago_s: 0.0, in_s: remaining },
             Item::DeadlineHit { gauge } => Event::Woken(read_gauges(&self.gauges, &gauge)),
             Item::Provision { .. } | Item::Stop => {
                 return Err("not an event of a running instance".to_owned())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -406,6 +406,11 @@
         self.reader.get_ref().write_all(format!("{notice}\n").as_bytes()).unwrap();
     }
 
+    /// Says a part of a notice, without its end.
+    pub fn say_raw(&mut self, text: &str) {
+        self.reader.get_ref().write_all(text.as_bytes()).unwrap();
+    }
+
     /// Says a notice with the next number.
     pub fn notice(&mut self, mut notice: Value) {
         self.n += 1;
@@ -462,6 +467,13 @@
         }
     }
 
+    /// All commands until the worker closes the link. Nothing is answered: an answer to one that has ended would reset
+    /// away what it said last.
+    pub fn rest(&mut self) -> Vec<Value> {
+        let lines = (&mut self.reader).lines().map(|l| serde_json::from_str(&l.expect("a command")).unwrap());
+        lines.filter(|c: &Value| c["type"] != "METER").collect()
+    }
+
     pub fn next(&mut self, kind: &str) -> Value {
         let command = self.command();
         assert_eq!(command["type"], kind, "{command}");
--- /dev/null
+++ b/tests/crossings/closing.rs
@@ -0,0 +1,135 @@
+//! The end of one connection against its next request, its last answer and its peer's last bytes.
+
+use super::*;
+use std::io::Write;
+
+/// The oldest that rests gives way where descriptors run out, but not one whose next request lies unread.
+#[test]
+fn a_resting_connection_whose_next_request_lies_unread_makes_room_for_nobody() {
+    let site = Site::with(|c| c["limits"]["sockets"] = json!(96), None);
+    let mut executor = site.link();
+    // As many as the budget allows, each of which asked once.
+    let mut resting: Vec<Client> = Vec::new();
+    for _ in 0..28 {
+        let mut client = Client::connect(site.http);
+        assert_eq!(client.ask_check(), 200);
+        resting.push(client);
+    }
+    // All have rested for long enough to give way.
+    let_pass(Duration::from_millis(60));
+    assert_eq!(site.health(), 200);
+    site.hang(true);
+    let mut late: Vec<Client> = (0..20).map(|_| Client::connect(site.http)).collect();
+    late.iter_mut().for_each(|c| c.write("GET /check HTTP/1.1\r\n\r\n"));
+    resting[0].write("GET /check HTTP/1.1\r\n\r\n");
+    site.hang(false);
+    assert_eq!(resting[0].answer().status, 200);
+    for client in &mut late {
+        assert_eq!(client.answer().status, 200);
+    }
+    let (mut client, job) = begin(&site, &mut executor, &Ask::new("look"));
+    executor.exit(&job, "PASS", "done");
+    assert_eq!(client.answer().body, b"done");
+}
+
+/// A refusal of bad input is followed by more of it: the close must not reset the answer away.
+#[test]
+fn a_refusal_is_read_whole_by_a_peer_that_goes_on_sending() {
+    let site = Site::start();
+    let _executor = site.link();
+    for bad in
+        ["NONSENSE\r\n\r\n", "POST /do/look HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\n"]
+    {
+        let mut client = Client::connect(site.http);
+        client.write(bad);
+        let mut waits = [0; 1];
+        // The answer is there, and not read yet.
+        assert_eq!(client.reader.get_ref().peek(&mut waits).unwrap(), 1);
+        for _ in 0..50 {
+            client.write(&"x".repeat(8192));
+        }
+        assert_eq!(client.answer().status, 400);
+        assert_eq!(end_of(&mut client), End::Closed);
+    }
+}
+
+/// Half a head, half a body, nothing at all: closed within 3 s by a close, and nothing of it reaches the core.
+#[test]
+fn half_requests_end_by_a_close_and_never_by_a_reset() {
+    let site = Site::start();
+    let mut executor = site.link();
+    let text = Ask::new("look").text();
+    let begun = Instant::now();
+    let mut clients: Vec<Client> = [0, 10, text.len() - 1]
+        .iter()
+        .map(|n| {
+            let mut client = Client::connect(site.http);
+            client.write(&text[..*n]);
+            client
+        })
+        .collect();
+    for client in &mut clients {
+        assert_eq!(end_of(client), End::Closed);
+    }
+    assert!(begun.elapsed() < PATIENCE);
+    executor.quiet_but_for(&site, "");
+}
+
+/// Bytes that follow a close which the peer asked for are no request.
+#[test]
+fn what_follows_a_request_that_asked_for_the_close_is_dropped() {
+    let site = Site::start();
+    let mut executor = site.link();
+    let (first, second) = (name(), name());
+    let mut client = Client::connect(site.http);
+    let close = Ask { id: &first, extra: "Connection: close\r\n", ..Ask::new("look") }.text();
+    client.write(&(close + &Ask { id: &second, ..Ask::new("look") }.text()));
+    let exec = executor.next("EXEC");
+    assert_eq!(exec["job"], json!(first));
+    executor.exit(&exec["job"], "PASS", "done");
+    let reply = client.answer();
+    assert_eq!((reply.status, reply.header("Connection")), (200, Some("close")));
+    assert_eq!(end_of(&mut client), End::Closed);
+    executor.quiet_but_for(&site, &second);
+}
+
+/// A peer that never reads and never ends is waited for, but not for ever, and costs nobody their answer.
+#[test]
+fn peers_that_go_on_sending_after_the_end_are_dropped_and_the_rest_is_served() {
+    let site = Site::start();
+    let mut executor = site.link();
+    let mut senders: Vec<TcpStream> = (0..8).map(|_| TcpStream::connect(site.http).unwrap()).collect();
+    for sender in &mut senders {
+        sender.set_write_timeout(Some(PATIENCE)).unwrap();
+        sender.write_all(b"NONSENSE\r\n\r\n").unwrap();
+    }
+    let bytes = [b'x'; 64 * 1024];
+    let begun = Instant::now();
+    // Each ends although it never stops.
+    for sender in &mut senders {
+        while sender.write_all(&bytes).is_ok() {
+            assert!(begun.elapsed() < PATIENCE, "it is read for ever");
+        }
+    }
+    let (mut client, job) = begin(&site, &mut executor, &Ask::new("look"));
+    executor.exit(&job, "PASS", "done");
+    assert_eq!(client.answer().body, b"done");
+}
+
+/// A packet that can't be read, with more behind it than is ever kept unread, behind an answer that is not read yet.
+#[test]
+fn a_bad_ajp_packet_ends_its_connection_without_a_reset() {
+    let front = "[ajp]\nlisten = \"127.0.0.1:0\"\nsecret = \"s3cret\"\n[[ajp.route]]\npath = \"/look\"\nclass = \"look\"\n";
+    let site = Site::with(|_| {}, Some(front));
+    let _executor = site.link();
+    let mut portal = Client::connect(site.ajp.unwrap());
+    let ping = honeypost::net::peers::ajp::write_cping();
+    portal.reader.get_ref().write_all(&ping).unwrap();
+    let mut waits = [0; 1];
+    assert_eq!(portal.reader.get_ref().peek(&mut waits).unwrap(), 1);
+    portal.reader.get_ref().write_all(&vec![b'x'; 256 * 1024]).unwrap();
+    let mut pong = [0; 5];
+    portal.reader.read_exact(&mut pong).unwrap();
+    assert_eq!(pong, [b'A', b'B', 0, 1, 9]);
+    assert_eq!(end_of(&mut portal), End::Closed);
+}
--- /dev/null
+++ b/tests/crossings/main.rs
@@ -0,0 +1,67 @@
+//! Where two events cross: each story forces both to meet, on real processes and sockets. The table of them stands in
+//! `docs/design/08-crossings.md`.
+//!
+//! A worker that is stopped by the system can't look: what is put before it meanwhile, it finds in one turn.
+
+mod below;
+mod closing;
+#[path = "../common/mod.rs"]
+mod common;
+mod shutdown;
+
+use common::*;
+use serde_json::{json, Value};
+use std::io::{ErrorKind, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// Lets so much time pass while the worker can't look: past the end of some time that is the story's subject.
+fn let_pass(time: Duration) {
+    std::thread::sleep(time);
+}
+
+/// How a connection ended, after whatever still came.
+#[derive(Debug, PartialEq)]
+enum End {
+    Closed,
+    Reset,
+}
+
+fn end_of(client: &mut Client) -> End {
+    let mut bytes = [0; 4096];
+    loop {
+        match client.reader.read(&mut bytes) {
+            Ok(0) => return End::Closed,
+            Ok(_) => {}
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => return End::Reset,
+            Err(e) => panic!("neither an end nor a reset: {e}"),
+        }
+    }
+}
+
+/// Waits until nobody listens there any more.
+fn wait_refused(address: SocketAddr) {
+    let until = Instant::now() + PATIENCE;
+    while TcpStream::connect(address).is_ok() {
+        assert!(Instant::now() < until, "it goes on listening");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// A site whose grace and stop are these (seconds, milliseconds).
+fn leaving(grace_s: f64, stop_ms: u64) -> Site {
+    Site::with(
+        |c| {
+            c["settings"]["contract"]["drainGraceS"] = json!(grace_s);
+            c["stop_ms"] = json!(stop_ms);
+        },
+        None,
+    )
+}
+
+/// Starts a run of this class on a connection of its own.
+fn begin(site: &Site, executor: &mut Executor, ask: &Ask) -> (Client, Value) {
+    let mut client = Client::connect(site.http);
+    client.send(ask);
+    (client, executor.next("EXEC")["job"].clone())
+}
--- /dev/null
+++ b/tests/crossings/shutdown.rs
@@ -0,0 +1,235 @@
+//! The end of the process against what is on its way in and out.
+
+use super::*;
+
+/// Connections that the system has accepted are the worker's, whether it has taken them in or not: closing the socket
+/// resets them, requests and all.
+#[test]
+fn a_queue_longer_than_one_turn_takes_in_is_answered_before_the_door_closes() {
+    let change = |c: &mut Value| {
+        c["settings"]["contract"]["drainGraceS"] = json!(0.2);
+        c["limits"]["sockets"] = json!(1024);
+    };
+    let mut site = Site::with(change, None);
+    let mut executor = site.link();
+    let (mut busy, job) = begin(&site, &mut executor, &Ask::new("look"));
+    site.terminate();
+    site.wait_log("notice to leave");
+    site.hang(true);
+    let_pass(Duration::from_millis(300));
+    let mut queue: Vec<Client> = (0..600).map(|_| Client::connect(site.http)).collect();
+    queue.iter_mut().for_each(|c| c.send(&Ask::new("look")));
+    site.hang(false);
+    for client in &mut queue {
+        let reply = client.answer();
+        assert_eq!((reply.status, reply.header("Connection")), (503, Some("close")));
+    }
+    executor.exit(&job, "PASS", "done");
+    let reply = busy.answer();
+    assert_eq!((reply.status, &reply.body[..]), (200, &b"done"[..]), "{}", reply.head);
+    drop((queue, busy));
+    assert!(site.ended_well());
+}
+
+/// The notice may lie unread while the process is stopped: the grace counts from when it was sent.
+#[test]
+fn a_notice_read_late_lets_nothing_run_that_came_after_its_grace() {
+    let mut site = leaving(0.2, 8000);
+    let mut executor = site.link();
+    // The worker is seen to be awake just before it is stopped, so that this is when the notice comes.
+    assert_eq!(site.health(), 200);
+    site.hang(true);
+    site.terminate();
+    let_pass(Duration::from_millis(400));
+    let mut late = Client::connect(site.http);
+    let id = name();
+    late.send(&Ask { id: &id, ..Ask::new("look") });
+    site.hang(false);
+    assert_eq!(late.answer().status, 503);
+    drop(late);
+    assert_eq!(executor.rest(), Vec::<Value>::new(), "what came after the grace was run");
+    assert!(site.ended_well());
+}
+
+/// What is owed at the stop is owed whatever the stop is.
+#[test]
+fn however_short_the_stop_what_runs_and_what_is_held_is_answered() {
+    for stop_ms in [300, 120, 30, 1, 0] {
+        let mut site = leaving(2.0, stop_ms);
+        let mut executor = site.link();
+        executor.gauges = [1.0, 4.0, 0.1, 3.0];
+        let (mut first, _) = begin(&site, &mut executor, &Ask { key: Some("k"), ..Ask::new("order") });
+        let (mut second, _) = begin(&site, &mut executor, &Ask::new("look"));
+        let mut held = Client::connect(site.http);
+        held.send(&Ask::new("look"));
+        assert_eq!(site.health(), 200);
+        site.terminate();
+        // What may have run is never said not to have; what never ran is.
+        assert_eq!(first.answer().status / 100, 5);
+        assert!([500, 503, 504].contains(&second.answer().status));
+        assert_eq!(held.answer().status, 503);
+        drop((first, second, held));
+        assert!(site.ended_well(), "stop of {stop_ms} ms");
+    }
+}
+
+#[test]
+fn an_order_that_runs_at_the_stop_is_failed_and_not_refused() {
+    let mut site = leaving(2.0, 0);
+    let mut executor = site.link();
+    let order = || Ask { key: Some("k"), ..Ask::new("order") };
+    let (mut first, _) = begin(&site, &mut executor, &order());
+    let mut again = Client::connect(site.http);
+    again.send(&order());
+    assert_eq!(site.health(), 200);
+    site.terminate();
+    for client in [&mut first, &mut again] {
+        let status = client.answer().status;
+        assert!([500, 504].contains(&status), "{status}");
+    }
+    drop((first, again));
+    assert!(site.ended_well());
+}
+
+#[test]
+fn with_no_grace_at_all_nothing_that_comes_after_the_notice_runs() {
+    let mut site = leaving(0.0, 8000);
+    let mut executor = site.link();
+    let (mut busy, job) = begin(&site, &mut executor, &Ask::new("look"));
+    let mut resting = Client::connect(site.http);
+    assert_eq!(resting.ask_check(), 200);
+    site.terminate();
+    wait_refused(site.http);
+    // It ends by a close, in which a request that crosses it is dropped unread by anybody.
+    assert_eq!(end_of(&mut resting), End::Closed);
+    resting.write(&Ask::new("look").text());
+    executor.exit(&job, "PASS", "done");
+    assert_eq!(busy.answer().body, b"done");
+    drop((busy, resting));
+    assert_eq!(executor.rest(), Vec::<Value>::new(), "what crossed the close was run");
+    assert!(site.ended_well());
+}
+
+/// A request on a resting connection, and the moment at which such connections are ended: in one turn.
+#[test]
+fn a_request_that_meets_the_end_of_its_resting_connection_is_answered() {
+    let mut site = leaving(0.2, 8000);
+    let mut executor = site.link();
+    let (mut busy, job) = begin(&site, &mut executor, &Ask::new("look"));
+    let mut resting = Client::connect(site.http);
+    assert_eq!(resting.ask_check(), 200);
+    site.terminate();
+    site.wait_log("notice to leave");
+    site.hang(true);
+    let_pass(Duration::from_millis(300));
+    resting.send(&Ask::new("look"));
+    site.hang(false);
+    let reply = resting.answer();
+    assert_eq!((reply.status, reply.header("Connection")), (503, Some("close")));
+    executor.exit(&job, "PASS", "done");
+    assert_eq!(busy.answer().body, b"done");
+    drop((busy, resting));
+    assert!(site.ended_well());
+}
+
+/// Half a request keeps the process, but not beyond its time; the half that comes in time is answered.
+#[test]
+fn half_a_request_at_the_door_is_answered_when_it_becomes_whole() {
+    let mut site = leaving(0.1, 8000);
+    let mut executor = site.link();
+    let (mut whole, mut half) = (Client::connect(site.http), Client::connect(site.http));
+    let text = Ask::new("look").text();
+    for client in [&mut whole, &mut half] {
+        client.write(&text[..text.len() - 3]);
+    }
+    assert_eq!(site.health(), 200);
+    site.terminate();
+    wait_refused(site.http);
+    whole.write(&text[text.len() - 3..]);
+    // The arrival is of before the notice, but nothing says when its last byte was written: either is right.
+    let status = match executor.command_or_end() {
+        Some(exec) => {
+            executor.exit(&exec["job"], "PASS", "done");
+            200
+        }
+        None => 503,
+    };
+    assert_eq!(whole.answer().status, status);
+    assert_eq!(end_of(&mut half), End::Closed);
+    drop((whole, half));
+    assert!(site.ended_well());
+}
+
+/// The answer is written, and its reader is slow: the end of the process must not reset it away.
+#[test]
+fn an_answer_that_a_slow_peer_has_not_taken_outlives_the_process() {
+    let mut site = leaving(0.1, 8000);
+    let mut executor = site.link();
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(1).unwrap();
+    socket.connect(&site.http.into()).unwrap();
+    let mut slow = Client::on(socket.into());
+    slow.send(&Ask::new("look"));
+    let job = executor.next("EXEC")["job"].clone();
+    site.terminate();
+    wait_refused(site.http);
+    let result = "r".repeat(4096);
+    executor.exit(&job, "PASS", &result);
+    // Nothing is read until the process has gone.
+    assert!(site.ended_well());
+    assert_eq!(slow.answer().body, result.as_bytes());
+}
+
+#[test]
+fn a_notice_before_the_executor_is_up_refuses_what_comes_and_ends_in_time() {
+    let mut site = leaving(0.2, 1000);
+    let mut client = Client::connect(site.http);
+    client.send(&Ask::new("look"));
+    assert_eq!(client.answer().status, 503);
+    site.terminate();
+    site.wait_log("notice to leave");
+    let mut client = Client::connect(site.http);
+    client.send(&Ask::new("look"));
+    assert_eq!(client.answer().status, 503);
+    drop(client);
+    assert!(site.ended_well());
+}
+
+#[test]
+fn a_second_notice_and_a_reload_in_its_turn_change_nothing_about_the_first() {
+    let mut site = leaving(0.3, 8000);
+    let mut executor = site.link();
+    let (mut busy, job) = begin(&site, &mut executor, &Ask::new("look"));
+    site.terminate();
+    site.wait_log("notice to leave");
+    site.hang(true);
+    site.terminate();
+    site.reload(|c| c["stop_ms"] = json!(1));
+    let_pass(Duration::from_millis(200));
+    site.hang(false);
+    wait_refused(site.http);
+    executor.exit(&job, "PASS", "done");
+    assert_eq!(busy.answer().body, b"done");
+    drop(busy);
+    assert!(site.ended_well());
+    assert!(site.find_log("notice to leave").is_none());
+}
+
+/// The registry is down at the notice, and hears `draining` once it is back.
+#[test]
+fn draining_is_repeated_for_a_registry_that_was_away() {
+    let mut site = leaving(8.0, 8000);
+    let mut executor = site.link();
+    let (mut busy, job) = begin(&site, &mut executor, &Ask::new("look"));
+    let address = site.registry.local_addr().unwrap();
+    // Another socket takes its place, so that the old one closes.
+    site.registry = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    site.terminate();
+    site.wait_log("notice to leave");
+    site.registry = std::net::UdpSocket::bind(address).unwrap();
+    site.registry.set_read_timeout(Some(PATIENCE)).unwrap();
+    site.wait_beat("draining");
+    site.wait_beat("draining");
+    executor.exit(&job, "PASS", "done");
+    assert_eq!(busy.answer().body, b"done");
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -218,7 +218,7 @@
     let mut set = settings();
     set.classes[0].late_worth = 0.2;
     let mut b = Bench::new(set);
-    b.tell(Event::Leave { in_s: 4.0 });
+    b.tell(Event::Leave { ago_s: 0.0, in_s: 4.0 });
     let early = |unread_s: f64, id: u64| {
         Event::Arrived(Arrival { id: RequestId(id), class: 0, kb: 10.0, unread_s, ..Arrival::default() })
     };
@@ -235,7 +235,7 @@
 fn a_repeat_after_the_grace_is_answered_at_once() {
     let mut b = Bench::new(settings());
     b.arrive(1, 1);
-    b.tell(Event::Leave { in_s: 2.0 });
+    b.tell(Event::Leave { ago_s: 0.0, in_s: 2.0 });
     b.now = 1.5;
     assert!(failed(&b.repeat(2, 1), 2), "a shared answer might miss the stop, and what ran is not refused");
 }
@@ -993,7 +993,7 @@
     let mut c = Controller::new(Settings { signal: Signal::Weight, ..settings() }, 0.0, &mut out);
     assert!(out.contains(&Action::Publish(1.0)));
     out.clear();
-    c.handle(0.0, Event::Leave { in_s: 4.0 }, &mut out);
+    c.handle(0.0, Event::Leave { ago_s: 0.0, in_s: 4.0 }, &mut out);
     c.handle(0.6, Event::Woken(Gauges::default()), &mut out);
     assert!(out.contains(&Action::Publish(0.0)));
 }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -122,7 +122,7 @@
             let runnable = (step % 5 > 0).then_some(below.running.len() as f64);
             Event::Woken(Gauges { cores_busy: (step % 7 > 0).then_some(busy), runnable, connections: None })
         } else if step == STEPS - 300 {
-            Event::Leave { in_s: 3.2 }
+            Event::Leave { ago_s: 0.0, in_s: 3.2 }
         } else if draws.unit() < load {
             id += 1;
             let class = [0, 0, 0, 0, 1, 1, 1, 1, 2][draws.below(9)];
--- a/tests/worker.rs
+++ b/tests/worker.rs
@@ -292,7 +292,7 @@
         }
         if w.notice.is_none() && now >= 20.0 {
             w.notice = Some(now);
-            events.push(Event::Leave { in_s: stop - now });
+            events.push(Event::Leave { ago_s: 0.0, in_s: stop - now });
         }
         let rate = 30.0 * f64::from(w.set.cores);
         while dice.roll() < rate * step / (1.0 + rate * step) {
