Let a run stand for its window though a later try holds its key, and keep keys by patience

Seen: a drawn history of the core (src/core/tests/crossings.rs, any effects, windows, deadlines and orders) shrank to five steps: a key's run ends, its window of 0 s is over, a later try takes the key and is held, and a try of the old window is read: it was linked to the new holder and refused with it, though its key had run ("r3 is refused, and Some(0) of its key has run"). On sockets: keys::a_try_of_the_window_is_no_new_run..., 503 instead of the kept result. Where the new holder was let go first, the old try could have run again.

Cause: Keys::remember removed the ended entry when another holder came (keys.rs, the branch on `stale`), and tries are read in another order than they arrive.

Change: an entry keeps the run before its holder, until when it stands for tries; linked() and share() go by arrival; forget() puts it back. Keys are kept for as long as the settings' longest deadline, 6 s at least, and a keyed try that lay unread for longer is failed, since nothing is known of its time.

Ruled out: windows shorter than the run, than a tick and zero (the story and the drawn histories hold), a try in the turn of the end, a reset beside it.

--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -1,13 +1,17 @@
 //! The table of operation keys: which try holds a key, until when, and the result that its run left.
 //!
-//! An entry is kept a while beyond its time: a try counts from when it reached the machine, and it may lie unread.
+//! An entry is kept a while beyond its time: a try counts from when it reached the machine, and it may lie unread. So
+//! tries may be read in another order than they came in: a key whose window is over may have a new holder, whose run has
+//! not begun and may never, when a try of the old window is read. The old run stands for that one, whatever becomes of
+//! the new.
 
 use super::Answer;
 use crate::interface::{Outcome, RequestId};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
-/// How long after its time an entry still serves tries that arrived within it (seconds).
+/// How long after its time an entry still serves tries that arrived within it, at least (seconds). Where callers wait
+/// for longer than that, so long.
 const LATE_READING_S: f64 = 6.0;
 
 /// What a key is unique within: a class and a tenant.
@@ -29,7 +33,22 @@
     Failed,
 }
 
+impl Entry {
+    /// The run before this holder, where it is the one that stands for a try which arrived then.
+    fn past_of(&self, arrived: f64) -> Option<&Past> {
+        self.before.as_ref().filter(|p| arrived <= p.expires)
+    }
+}
+
 impl Progress {
+    /// Bytes of a kept result.
+    fn bytes(&self) -> usize {
+        match self {
+            Progress::Served(Some(result)) => result.len(),
+            _ => 0,
+        }
+    }
+
     /// What a try of a key that has ended is given.
     pub fn share(&self) -> (Answer, Outcome) {
         match self {
@@ -51,6 +70,27 @@
     pub elsewhere: bool,
     /// Tries that get what the holder gets.
     pub waiting: Vec<RequestId>,
+    /// The run that had the key before this holder, until when it stands for tries that are read late. It covers all
+    /// that came earlier, so one is enough.
+    before: Option<Past>,
+}
+
+/// A run whose window is over.
+#[derive(Clone, Debug)]
+struct Past {
+    holder: RequestId,
+    print: u64,
+    progress: Progress,
+    expires: f64,
+    elsewhere: bool,
+}
+
+/// The run that stands for a try.
+#[derive(Debug, PartialEq)]
+pub struct Linked {
+    pub holder: RequestId,
+    /// Stands for the body that came with the key.
+    pub print: u64,
 }
 
 /// What one process tells another of a key that may have run.
@@ -73,12 +113,14 @@
     kept: usize,
     room: usize,
     most: usize,
+    late_s: f64,
 }
 
 impl Keys {
-    /// A table of at most so many keys, with room for so many bytes of results.
-    pub fn new(room: usize, most: usize) -> Self {
-        Keys { entries: HashMap::new(), served: VecDeque::new(), kept: 0, room, most }
+    /// A table of at most so many keys, with room for so many bytes of results. Callers wait so long at most (seconds).
+    pub fn new(room: usize, most: usize, patience_s: f64) -> Self {
+        let late_s = patience_s.max(LATE_READING_S);
+        Keys { entries: HashMap::new(), served: VecDeque::new(), kept: 0, room, most, late_s }
     }
 
     /// Whether one more key is too many. None is dropped for it: what it guards could run twice.
@@ -86,6 +128,11 @@
         self.entries.len() >= self.most
     }
 
+    /// How long a key is kept after its time (seconds).
+    pub fn late_s(&self) -> f64 {
+        self.late_s
+    }
+
     pub fn len(&self) -> usize {
         self.entries.len()
     }
@@ -94,28 +141,28 @@
         self.entries.is_empty()
     }
 
-    /// The holder that a try with this key repeats, by the time it reached the machine. A key whose run is
-    /// still open is linked however late the try is: guards against a second run beside a hung one.
-    pub fn linked(&self, name: &KeyName, arrived: f64) -> Option<RequestId> {
+    /// The run that a try with this key repeats, by the time it reached the machine. A key whose run is still open is
+    /// linked however late the try is: guards against a second run beside a hung one.
+    pub fn linked(&self, name: &KeyName, arrived: f64) -> Option<Linked> {
         let entry = self.entries.get(name)?;
-        (arrived <= entry.expires || matches!(entry.progress, Progress::Open)).then_some(entry.holder)
+        if let Some(past) = entry.past_of(arrived) {
+            return Some(Linked { holder: past.holder, print: past.print });
+        }
+        let links = arrived <= entry.expires || matches!(entry.progress, Progress::Open);
+        links.then_some(Linked { holder: entry.holder, print: entry.print })
     }
 
-    pub fn get_mut(&mut self, name: &KeyName) -> Option<&mut Entry> {
-        self.entries.get_mut(name)
+    /// How the run of an earlier window ended, where it is the one that stands for a try of that time.
+    pub fn ended_before(&self, name: &KeyName, arrived: f64) -> Option<Progress> {
+        Some(self.entries.get(name)?.past_of(arrived)?.progress.clone())
     }
 
-    /// What stands for the body that came with this key.
-    pub fn print(&self, name: &KeyName) -> Option<u64> {
-        self.entries.get(name).map(|e| e.print)
+    pub fn get_mut(&mut self, name: &KeyName) -> Option<&mut Entry> {
+        self.entries.get_mut(name)
     }
 
     /// Records a request as the holder of its key, or renews its entry.
     pub fn remember(&mut self, name: &KeyName, holder: RequestId, print: u64, expires: f64) {
-        let stale = self.entries.get(name).is_some_and(|e| e.holder != holder);
-        if stale && !matches!(self.entries[name].progress, Progress::Open) {
-            self.remove(name);
-        }
         let entry = self.entries.entry(name.clone()).or_insert_with(|| Entry {
             holder,
             print,
@@ -123,7 +170,16 @@
             expires,
             elsewhere: false,
             waiting: Vec::new(),
+            before: None,
         });
+        if entry.holder != holder && !matches!(entry.progress, Progress::Open) {
+            let progress = std::mem::replace(&mut entry.progress, Progress::Open);
+            let (holder, print, expires, elsewhere) =
+                (entry.holder, entry.print, entry.expires, entry.elsewhere);
+            let older = entry.before.replace(Past { holder, print, progress, expires, elsewhere });
+            entry.elsewhere = false;
+            self.kept -= older.map_or(0, |p| p.progress.bytes());
+        }
         (entry.holder, entry.print, entry.expires) = (holder, print, expires);
     }
 
@@ -173,7 +229,15 @@
     pub fn forget(&mut self, name: &KeyName, holder: RequestId) {
         if self.entries.get(name).is_some_and(|e| e.holder == holder && matches!(e.progress, Progress::Open))
         {
-            self.remove(name);
+            let Some(entry) = self.entries.get_mut(name) else { return };
+            // The run before it stands again for what it stood for.
+            match entry.before.take() {
+                Some(Past { holder, print, progress, expires, elsewhere }) => {
+                    let (waiting, before) = (Vec::new(), None);
+                    *entry = Entry { holder, print, progress, expires, elsewhere, waiting, before };
+                }
+                None => self.remove(name),
+            }
         }
     }
 
@@ -196,24 +260,34 @@
         waiting
     }
 
+    /// The oldest result of a key goes, if there is one.
     fn drop_result(&mut self, name: &KeyName) {
-        if let Some(Progress::Served(result)) = self.entries.get_mut(name).map(|e| &mut e.progress) {
+        let Some(entry) = self.entries.get_mut(name) else { return };
+        let past = entry.before.iter_mut().map(|p| &mut p.progress);
+        let kept = past.chain([&mut entry.progress]).find(|p| p.bytes() > 0);
+        if let Some(Progress::Served(result)) = kept {
             self.kept -= result.take().map_or(0, |r| r.len());
         }
     }
 
     fn remove(&mut self, name: &KeyName) {
-        self.drop_result(name);
-        self.entries.remove(name);
+        let Some(entry) = self.entries.remove(name) else { return };
+        self.kept -= entry.progress.bytes() + entry.before.map_or(0, |p| p.progress.bytes());
     }
 
     /// Drops what can link nothing any more.
     pub fn sweep(&mut self, now: f64) {
-        let over = |e: &Entry| now > e.expires + LATE_READING_S && !matches!(e.progress, Progress::Open);
+        let late_s = self.late_s;
+        let over = |e: &Entry| now > e.expires + late_s && !matches!(e.progress, Progress::Open);
         let gone: Vec<KeyName> =
             self.entries.iter().filter(|(_, e)| over(e)).map(|(n, _)| n.clone()).collect();
         gone.iter().for_each(|name| self.remove(name));
-        // A name may stand here twice, for its old result and a new one: then the new one goes a little early.
+        for entry in self.entries.values_mut() {
+            if entry.before.as_ref().is_some_and(|p| now > p.expires + late_s) {
+                self.kept -= entry.before.take().map_or(0, |p| p.progress.bytes());
+            }
+        }
+        // A name may stand here more often than it has results: then one that is newer goes a little early.
         let entries = &self.entries;
         self.served.retain(|name| entries.contains_key(name));
         self.served.shrink_to(4 * self.served.len());
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -240,6 +240,7 @@
         let classes = settings.classes.clone();
         let figures = Figures::new(classes.len());
         let (run_factor, marks_retries) = (settings.run_factor, settings.marks_retries);
+        let patience_s = classes.iter().map(|c| c.deadline_s).fold(0.0, f64::max);
         let prints = (settings.seed, !settings.seed);
         let controller = Controller::new(settings, born, &mut actions);
         let mut core = Core {
@@ -247,7 +248,7 @@
             requests: HashMap::new(),
             names: HashMap::new(),
             tickets: HashMap::new(),
-            keys: Keys::new(result_bytes, (result_bytes / BYTES_A_KEY).max(KEYS_LEAST)),
+            keys: Keys::new(result_bytes, (result_bytes / BYTES_A_KEY).max(KEYS_LEAST), patience_s),
             prints,
             next: 0,
             owed: 0,
@@ -439,18 +440,23 @@
         let key =
             request.key.clone().map(|key| KeyName { class: request.class, tenant: request.tenant, key });
         let print = key.as_ref().map_or(0, |_| self.print(&request.body));
-        let repeats = key.as_ref().and_then(|k| self.keys.linked(k, arrived));
+        let linked = key.as_ref().and_then(|k| self.keys.linked(k, arrived));
+        let repeats = linked.as_ref().map(|l| l.holder);
         // Guards the one run of a key: not refused either, since it may have had its run.
         let further = request.retry || !self.marks_retries;
         if key.is_some() && repeats.is_none() && self.doubt.covers(arrived, further) {
             return self.turn_away(&request, Answer::Failed, out);
         }
+        // Nor one that lay unread for longer than keys are kept: another try may have run and be forgotten.
+        if key.is_some() && request.unread_s >= self.keys.late_s() {
+            return self.turn_away(&request, Answer::OutOfTime, out);
+        }
         if key.is_some() && repeats.is_none() && self.keys.full() {
             return self.turn_away(&request, refused(), out);
         }
         // Guards the kept result: all tries of one request carry the same body, so this is another request, and
         // whoever sent it must not be served with what a run made for the first.
-        if key.as_ref().is_some_and(|k| repeats.is_some() && self.keys.print(k) != Some(print)) {
+        if linked.is_some_and(|l| l.print != print) {
             return self.turn_away(&request, Answer::Conflict, out);
         }
         self.next += 1;
@@ -599,8 +605,10 @@
     }
 
     fn share(&mut self, id: RequestId, events: &mut VecDeque<Event>, out: &mut Vec<Command>) {
-        let key = self.requests.get(&id).and_then(|h| h.key.clone());
-        let progress = match key.and_then(|k| self.keys.get_mut(&k)) {
+        let held = self.requests.get(&id).and_then(|h| Some((h.key.clone()?, h.arrived)));
+        let before = held.as_ref().and_then(|(key, arrived)| self.keys.ended_before(key, *arrived));
+        let progress = match held.and_then(|(key, _)| self.keys.get_mut(&key)) {
+            Some(_) if before.is_some() => before.unwrap_or(Progress::Failed),
             Some(entry) => {
                 if matches!(entry.progress, Progress::Open) {
                     entry.waiting.push(id);
--- a/src/core/tests/mod.rs
+++ b/src/core/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Stories of the core alone, and random histories.
 
+mod crossings;
 mod lending;
 
 use super::*;
--- /dev/null
+++ b/tests/crossings/keys.rs
@@ -0,0 +1,94 @@
+//! Tries of one key against the end of its run, its window and their callers.
+
+use super::*;
+
+fn short_window(window_s: f64) -> Site {
+    Site::with(|c| c["settings"]["profiles"][1]["windowS"] = json!(window_s), None)
+}
+
+fn order<'a>() -> Ask<'a> {
+    Ask { key: Some("5c0f6e1a"), ..Ask::new("order") }
+}
+
+/// The window ends long before the run does.
+#[test]
+fn a_key_is_not_forgotten_while_its_run_goes_on_however_short_its_window() {
+    for window_s in [0.0, 0.1] {
+        let site = short_window(window_s);
+        let mut executor = site.link();
+        let (mut first, job) = begin(&site, &mut executor, &order());
+        // The table is swept each second.
+        let_pass(Duration::from_millis(1300));
+        let mut again = Client::connect(site.http);
+        again.send(&order());
+        executor.quiet_but_for(&site, "");
+        executor.exit(&job, "PASS", "once");
+        assert_eq!((first.answer().body, again.answer().body), (b"once".to_vec(), b"once".to_vec()));
+    }
+}
+
+/// The try and the end of the run are both there when the worker looks.
+#[test]
+fn a_try_that_meets_the_end_of_its_run_gets_its_result() {
+    let site = Site::start();
+    let mut executor = site.link();
+    let (mut first, job) = begin(&site, &mut executor, &order());
+    let mut again = Client::connect(site.http);
+    assert_eq!(again.ask_check(), 200);
+    for round in 0..2 {
+        site.hang(true);
+        // In the second round the run has ended long ago.
+        if round == 0 {
+            executor.exit(&job, "PASS", "once");
+        }
+        again.send(&order());
+        site.hang(false);
+        assert_eq!(again.answer().body, b"once");
+    }
+    assert_eq!(first.answer().body, b"once");
+    executor.quiet_but_for(&site, "");
+}
+
+/// The first caller resets as its run ends; the next try comes in the same turn.
+#[test]
+fn a_reset_the_end_of_the_run_and_a_further_try_in_one_turn_are_one_run() {
+    let site = Site::start();
+    let mut executor = site.link();
+    let (first, job) = begin(&site, &mut executor, &order());
+    site.hang(true);
+    first.reset();
+    executor.exit(&job, "PASS", "once");
+    let mut again = Client::connect(site.http);
+    again.send(&order());
+    site.hang(false);
+    assert_eq!(again.answer().body, b"once");
+    executor.quiet_but_for(&site, "");
+}
+
+/// A try that reached the machine within the window is read after one that came when it was over, whose run may not
+/// begin: the first run still stands for it.
+#[test]
+fn a_try_of_the_window_is_no_new_run_because_a_later_one_was_read_first() {
+    let site = short_window(0.3);
+    let mut executor = site.link();
+    executor.gauges = [1.0, 4.0, 0.1, 3.0];
+    let (mut first, job) = begin(&site, &mut executor, &order());
+    let arrived_ms = unix_ms();
+    executor.exit(&job, "PASS", "once");
+    assert_eq!(first.answer().body, b"once");
+    // Both slots are taken, so that the late one is held.
+    let busy: Vec<(Client, Value)> = (0..2).map(|_| begin(&site, &mut executor, &Ask::new("look"))).collect();
+    let_pass(Duration::from_millis(500));
+    let mut late = Client::connect(site.http);
+    late.send(&order());
+    assert_eq!(site.health(), 200);
+    let mut within = Client::connect(site.http);
+    let reply = within.ask(&Ask { arrived_ms, ..order() });
+    assert_eq!((reply.status, reply.body), (200, b"once".to_vec()));
+    // Now the late one may run.
+    for (mut client, job) in busy {
+        executor.exit(&job, "PASS", "");
+        assert_eq!(client.answer().status, 200);
+    }
+    executor.serve(&mut late, "anew");
+}
--- a/tests/crossings/main.rs
+++ b/tests/crossings/main.rs
@@ -7,6 +7,7 @@
 mod closing;
 #[path = "../common/mod.rs"]
 mod common;
+mod keys;
 mod shutdown;
 
 use common::*;
