Answer what still runs when an old process's time is over, and end what rests in one turn

Seen: shutdown::an_old_process_whose_time_is_over... on: closed after "". follow_ending (replacing.rs) ended at its bound with answers owed, where a caller waits for longer than the settings say of its class. The last call of the drain now goes before that end too: the order is failed, never refused.

Also a story for the directory: a portal that waits for a silent one at the stop got no answer on ("an answer": closed), and 503 with Retry-After since the last call. Ruled out: idle connections at the hand-over (they are passed, not ended).

--- a/src/net/life/leaving.rs
+++ b/src/net/life/leaving.rs
@@ -67,9 +67,10 @@
         if let Some(r) = &mut self.records {
             r.sweep(now);
         }
-        // What the sweep has found something on is looked at soon.
+        // What is to be ended is ended in this turn, and what it has found something on is looked at: the longer that
+        // takes, the more can cross it.
         if self.pending() {
-            self.wheel.set(now, 0.0, Timer::Again);
+            self.rounds(Vec::new());
         }
     }
 
@@ -155,7 +156,7 @@
 
     /// Answers whatever is still owed: a stop may be too short for the module to give up in time, and a directory may
     /// be silent.
-    fn last_call(&mut self) {
+    pub(in crate::net) fn last_call(&mut self) {
         let mut inputs = vec![Input::LastCall];
         if let Some(ajp) = &mut self.ajp {
             let (clock, state, log) = (&self.clock, &self.state, &mut self.log);
--- a/src/net/life/replacing.rs
+++ b/src/net/life/replacing.rs
@@ -576,6 +576,9 @@
         let passed = if r.links.has_new() { http.is_empty() } else { http.quiet() };
         let over = !owed && others && passed && r.links.quiet();
         let over = over && !r.door.has_predecessor();
+        if !over && now >= at_most {
+            self.last_call();
+        }
         if over && self.end_connections(now, false) || now >= at_most {
             self.log.line(if over { "left with all handed over" } else { "left with answers owed" });
             self.end(now);
--- a/tests/ajp.rs
+++ b/tests/ajp.rs
@@ -427,13 +427,17 @@
     }
 
     fn site(directory: &TcpListener, more: &str) -> Site {
+        site_with(directory, more, |_| {})
+    }
+
+    fn site_with(directory: &TcpListener, more: &str, change: impl FnOnce(&mut serde_json::Value)) -> Site {
         let at = directory.local_addr().unwrap();
         let text = format!(
             "{FRONT}\n[directory]\naddress = \"{at}\"\nbind_dn = \"cn=worker\"\nbind_password = \"pw\"\n\
              base = \"ou=portals\"\nidentity = \"remote-user\"\nidentity_attribute = \"uid\"\n\
              tenant_attribute = \"o\"\n{more}\n"
         );
-        Site::with(|_| {}, Some(&text))
+        Site::with(change, Some(&text))
     }
 
     fn by<'a>(user: &'a str) -> Forward<'a> {
@@ -494,6 +498,23 @@
         executor.quiet_but_for(&site, "");
     }
 
+    /// The stop comes while the directory is asked: the portal is told to come back, before the process ends.
+    #[test]
+    fn a_portal_that_waits_for_a_silent_directory_is_answered_at_the_stop() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut site = site_with(&listener, "timeout_ms = 10000", |c| c["stop_ms"] = json!(400));
+        let _executor = site.link();
+        let mut portal = Ajp::connect(site.ajp.unwrap());
+        portal.send(&by("anna"), b"hello");
+        let mut ldap = Ldap::accept(&listener);
+        ldap.next();
+        site.terminate();
+        let (reply, reuse) = portal.answer();
+        assert_eq!((reply.status, reply.header("Retry-After"), reuse), (503, Some("1"), false));
+        drop(portal);
+        assert!(site.ended_well());
+    }
+
     #[test]
     fn a_refused_bind_is_a_directory_that_is_down() {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/tests/crossings/shutdown.rs
+++ b/tests/crossings/shutdown.rs
@@ -233,3 +233,26 @@
     executor.exit(&job, "PASS", "done");
     assert_eq!(busy.answer().body, b"done");
 }
+
+/// An old process ends by its time while a caller still waits for a run: that caller is answered first.
+#[test]
+fn an_old_process_whose_time_is_over_answers_what_still_runs() {
+    let door = Door::new();
+    let short = |c: &mut Value| {
+        for class in 0..2 {
+            c["settings"]["profiles"][class]["deadlineS"] = json!(1.0);
+        }
+    };
+    let mut old = Site::at(&door, short);
+    let mut executor = old.link();
+    while old.call("GET", "/-/ready").0 != 200 {}
+    // Its caller waits for longer than the settings say of the class.
+    let (mut client, _) = begin(&old, &mut executor, &Ask { key: Some("k"), ..Ask::new("order") });
+    let new = Site::at(&door, short);
+    let _other = new.link();
+    while new.call("GET", "/-/ready").0 != 200 {}
+    old.terminate();
+    assert_eq!(client.answer().status, 500);
+    assert!(old.ended_well());
+    assert_eq!(new.health(), 200);
+}
