--- a/tests/http2/stories.rs
+++ b/tests/http2/stories.rs
@@ -581,3 +581,26 @@
     executor.exit(&job, "PASS", "seen");
     assert_eq!((busy.answer(1).body, third.answer(1).body), (b"seen".to_vec(), b"seen".to_vec()));
 }
+
+/// A stop so short that the module has no time to give up: the streams are answered all the same, each in the way of
+/// what is known of it.
+#[test]
+fn however_short_the_stop_streams_are_answered_before_the_end() {
+    for stop_ms in [120, 1, 0] {
+        let mut site = Site::with(|c| c["stop_ms"] = json!(stop_ms), Some(FRONT));
+        let mut executor = site.link();
+        executor.gauges = [1.0, 4.0, 0.1, 3.0];
+        let mut peer = Peer::connect(&site, &[]);
+        peer.ask(1, "order", Some("k1"), "hello");
+        starts(&mut executor, "order");
+        peer.ask(3, "look", None, "hello");
+        starts(&mut executor, "look");
+        peer.ask(5, "look", None, "hello");
+        peer.frame(PING, 0, 0, b"whatever");
+        peer.next("the ping's answer", |f| f.kind == PING && f.flags & ACK != 0);
+        site.terminate();
+        let status = [1, 3, 5].map(|stream| peer.answer(stream).status);
+        assert!([500, 504].contains(&status[0]) && status[2] == 503, "{status:?}");
+        assert!(site.ended_well());
+    }
+}
