Keep the grace through a stall: look for a notice before starting, and hand over times

Printed per client: the requests were taken as of before the grace; they had come 0.3 s after.

Cause, two places. A process that is stopped in the middle of a turn goes on with what the wait brought before, and starts what it then reads, while the notice lies unread (net/mod.rs, turn). And Input::Leave said "so long ago", and a request "unread for so long": spans that a stall between reading and handing over makes false, here by the length of the stop (leaving.rs, fields.rs).

Change: after a wait that was 50 ms later than meant the loop looks once more; a turn that has stalled puts off what it gathered to the next one, once; the notice and when a request was read are points in time on the loop's clock. The notice goes before all that was read.

Ruled out: a late connect, a second notice, the accept queue (all 600 were answered).

--- a/lab/src/fleet/storm.rs
+++ b/lab/src/fleet/storm.rs
@@ -371,6 +371,7 @@
                 tenant: Some(0),
                 caller: 1,
                 kb: a.need_kb,
+                read_at: None,
                 unread_s: 0.0,
                 patience_s: due - now,
                 size_s: None,
--- a/lab/src/virtual_time.rs
+++ b/lab/src/virtual_time.rs
@@ -168,6 +168,7 @@
             tenant: Some(0),
             caller: 1,
             kb: a.need_kb,
+            read_at: None,
             unread_s: 0.0,
             patience_s: (a.at + class.deadline_ms / 1000.0 - now).max(0.01),
             size_s: None,
--- a/src/core/lending.rs
+++ b/src/core/lending.rs
@@ -21,7 +21,7 @@
     /// The request as it stands now.
     pub fn at(&self, now: f64) -> Request {
         let (unread_s, patience_s) = ((now - self.arrived).max(0.0), (self.due - now).max(0.0));
-        Request { unread_s, patience_s, ..self.request.clone() }
+        Request { read_at: Some(now), unread_s, patience_s, ..self.request.clone() }
     }
 }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -36,7 +36,11 @@
     pub tenant: Option<usize>,
     pub caller: u64,
     pub kb: f64,
+    /// When it was read, from which both of the next count (loop's clock, seconds); absent where that is now.
+    pub read_at: Option<f64>,
+    /// How long it had lain unread then (seconds).
     pub unread_s: f64,
+    /// How long its caller waited from then on (seconds).
     pub patience_s: f64,
     pub size_s: Option<f64>,
     pub key: Option<Rc<str>>,
@@ -100,10 +104,11 @@
     RunsLost,
     /// The connection on which this answer is owed has been torn down.
     Gone(Ticket),
-    /// The notice to leave, and how long ago it came.
+    /// The notice to leave: when it came and when the process is stopped (loop's clock, seconds). Points in time, not
+    /// spans: the process may stall before this is handled.
     Leave {
-        ago_s: f64,
-        in_s: f64,
+        notice: f64,
+        stop: f64,
     },
     /// The process is about to end: all that is owed is answered now.
     LastCall,
@@ -414,7 +419,9 @@
                     self.run_ended(id, Outcome::Error, None, events, out);
                 }
             }
-            Input::Leave { ago_s, in_s } => events.push_back(Event::Leave { ago_s, in_s }),
+            Input::Leave { notice, stop } => {
+                events.push_back(Event::Leave { ago_s: now - notice, in_s: stop - now })
+            }
             Input::LastCall => self.last_call(events, out),
             Input::Woken(gauges) => events.push_back(Event::Woken(gauges)),
             Input::Pools(plan) => events.push_back(Event::Pools(plan)),
@@ -436,7 +443,10 @@
         if self.names.contains_key(&request.name) || self.elsewhere.contains(&request.name) {
             return self.turn_away(&request, Answer::Conflict, out);
         }
-        let arrived = now - request.unread_s;
+        // Guards window and grace: the process may have stalled between reading and this.
+        let since_s = request.read_at.map_or(0.0, |at| (now - at).max(0.0));
+        let (unread_s, patience_s) = (request.unread_s + since_s, request.patience_s - since_s);
+        let arrived = now - unread_s;
         let key =
             request.key.clone().map(|key| KeyName { class: request.class, tenant: request.tenant, key });
         let print = key.as_ref().map_or(0, |_| self.print(&request.body));
@@ -448,7 +458,7 @@
             return self.turn_away(&request, Answer::Failed, out);
         }
         // Nor one that lay unread for longer than keys are kept: another try may have run and be forgotten.
-        if key.is_some() && request.unread_s >= self.keys.late_s() {
+        if key.is_some() && unread_s >= self.keys.late_s() {
             return self.turn_away(&request, Answer::OutOfTime, out);
         }
         if key.is_some() && repeats.is_none() && self.keys.full() {
@@ -467,8 +477,8 @@
             tenant: request.tenant,
             caller: request.caller,
             kb: request.kb,
-            unread_s: request.unread_s,
-            patience_s: Some(request.patience_s),
+            unread_s,
+            patience_s: Some(patience_s),
             size_s: request.size_s,
             repeats,
             retry: request.retry,
@@ -476,7 +486,7 @@
         self.names.insert(request.name.clone(), id);
         self.tickets.insert(request.ticket, id);
         self.owed += 1;
-        let due = now + request.patience_s;
+        let due = now + patience_s;
         let (answered, started, calling) = (false, false, false);
         let (at_call, sent, twice) = (None, None, false);
         self.requests.insert(
--- a/src/core/tests/mod.rs
+++ b/src/core/tests/mod.rs
@@ -45,6 +45,7 @@
         tenant: None,
         caller: 1,
         kb: 10.0,
+        read_at: None,
         unread_s: 0.0,
         patience_s: 3.0,
         size_s: None,
--- a/src/net/fronts/fields.rs
+++ b/src/net/fronts/fields.rs
@@ -162,6 +162,7 @@
             tenant,
             caller: self.caller.unwrap_or(0),
             kb: self.need_kb.unwrap_or(DEFAULT_NEED_KB),
+            read_at: Some(clock.now()),
             unread_s,
             patience_s,
             size_s: self.estimate_ms.map(|ms| ms / 1000.0).filter(|s| *s > 0.0),
--- a/src/net/life/leaving.rs
+++ b/src/net/life/leaving.rs
@@ -44,7 +44,7 @@
             self.wheel.set(now, at - now, Timer::Again);
         }
         self.state.leaving = true;
-        inputs.push(Input::Leave { ago_s: now - at.notice, in_s: at.stop - now });
+        inputs.push(Input::Leave { notice: at.notice, stop: at.stop });
         if let Some(http2) = &mut self.http2 {
             // Each connection is told to go.
             http2.connections.touch_all();
--- a/src/net/life/words.rs
+++ b/src/net/life/words.rs
@@ -67,6 +67,7 @@
         tenant: held.tenant,
         caller: held.caller,
         kb: held.kb,
+        read_at: None,
         unread_s: ((unix_ms - held.arrived_ms) / 1000.0).max(0.0),
         patience_s: ((held.due_ms - unix_ms) / 1000.0).max(0.0),
         size_s: held.size_s,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -42,6 +42,9 @@
 const SWEEP_S: f64 = 0.25;
 /// Rounds of one turn at most: requests that lie behind answered ones, and outcomes of what was just asked.
 const ROUNDS: usize = 8;
+/// A process that comes so much later than it meant to was stopped, or had no core: signals may have come meanwhile that
+/// the loop has not told of (seconds).
+const STALL_S: f64 = 0.05;
 /// Kept results may take one part in so many of the memory limit.
 const RESULT_PART: f64 = 8.0;
 /// What callers are told when the executor is not up yet (seconds).
@@ -176,8 +179,11 @@
     leaving: Option<Leaving>,
     /// When connections were first ended for the end of the process.
     ended: Option<f64>,
-    /// When the turn before this one began: what came since may have come at any time.
+    /// When this turn began, and the one before it: what came since may have come at any time.
+    turn_began: f64,
     turn_before: f64,
+    /// What this turn has gathered is left to the next one, since the process stalled in between.
+    put_off: bool,
     /// What came up too late in a turn to be handed over in it.
     left_over: Vec<Input>,
     accept_timer: bool,
@@ -224,6 +230,10 @@
             armed = next;
         }
         events.dispatch(None, &mut gathered).map_err(|e| format!("event loop: {e}"))?;
+        if next.is_some_and(|due| worker.clock.now() > due + STALL_S) {
+            // What the wait brought is of before the stall.
+            events.dispatch(Some(Duration::ZERO), &mut gathered).map_err(|e| format!("event loop: {e}"))?;
+        }
         worker.turn(&mut gathered);
     }
     Ok(())
@@ -322,7 +332,9 @@
             core: None,
             leaving: None,
             ended: None,
+            turn_began: clock.now(),
             turn_before: clock.now(),
+            put_off: false,
             left_over: Vec::new(),
             accept_timer: false,
             relink_timer: false,
@@ -352,6 +364,7 @@
 
     fn turn(&mut self, gathered: &mut Gathered) {
         let now = self.clock.now();
+        (self.turn_before, self.turn_began) = (self.turn_began, now);
         self.log.at(now);
         for (place, readable, writable) in gathered.take() {
             match place {
@@ -426,7 +439,10 @@
         // A word that waits goes before the notice to leave: with the door given away that is no drain.
         self.replace(now, &mut inputs);
         if std::mem::take(&mut gathered.leave) {
-            self.leave(now, &mut inputs);
+            // Before all that has been read, since it may have come before it.
+            let mut first = Vec::new();
+            self.leave(now, &mut first);
+            inputs.splice(0..0, first);
         }
         if std::mem::take(&mut gathered.reload) {
             self.reload(now, &mut inputs);
@@ -446,7 +462,6 @@
         } else {
             self.follow_leaving();
         }
-        self.turn_before = now;
     }
 
     /// Gathers what is ready, hands it over, carries out what comes back, until nothing is left that the loop would not
@@ -456,6 +471,12 @@
         for round in 0..ROUNDS {
             self.gather(&mut inputs);
             let now = self.clock.now();
+            // Guards the grace of a notice that lies unread: nothing starts before it has been looked for.
+            self.put_off = !self.put_off && self.leaving.is_none() && now > self.turn_began + STALL_S;
+            if self.put_off {
+                self.wheel.set(now, 0.0, Timer::Again);
+                break;
+            }
             let mut commands = Vec::new();
             match &mut self.core {
                 Some(core) if !inputs.is_empty() => core.handle(now, inputs.drain(..), &mut commands),
@@ -576,8 +597,8 @@
         core.count_earlier(&self.early);
         core.believe(self.replacement.as_ref().map_or(Doubt::None, Replacement::doubt));
         if let Some(leaving) = &self.leaving {
-            let (ago_s, in_s) = (now - leaving.at.notice, leaving.at.stop - now);
-            core.handle(now, [Input::Leave { ago_s, in_s }], &mut commands);
+            let (notice, stop) = (leaving.at.notice, leaving.at.stop);
+            core.handle(now, [Input::Leave { notice, stop }], &mut commands);
         }
         self.core = Some(core);
         for command in commands {
--- a/tests/crossings/main.rs
+++ b/tests/crossings/main.rs
@@ -34,6 +34,8 @@
         match client.reader.read(&mut bytes) {
             Ok(0) => return End::Closed,
             Ok(_) => {}
+            // The system breaks such a wait off where this process was stopped for a moment.
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) if e.kind() == ErrorKind::ConnectionReset => return End::Reset,
             Err(e) => panic!("neither an end nor a reset: {e}"),
         }
@@ -66,3 +68,10 @@
     client.send(ask);
     (client, executor.next("EXEC")["job"].clone())
 }
+
+/// Ends a run with this result, which its caller then gets.
+fn done(executor: &mut Executor, job: &Value, client: &mut Client) {
+    executor.exit(job, "PASS", "done");
+    let reply = client.answer();
+    assert_eq!((reply.status, &reply.body[..]), (200, &b"done"[..]), "{}", reply.head);
+}
