--- a/src/net/fronts/connections.rs
+++ b/src/net/fronts/connections.rs
@@ -20,7 +20,7 @@
 const SLOW_REQUEST_S: f64 = 2.0;
 /// How much longer one that still sends of its request may put that off: guards against a peer whose next byte is
 /// always on its way (seconds).
-const NEWS_S: f64 = 0.5;
+const NEWS_S: f64 = 0.25;
 /// How long an answer may take to be taken (seconds).
 const SLOW_ANSWER_S: f64 = 10.0;
 /// How long a peer that goes on sending after its refusal is read, so that the close does not reset the answer
@@ -481,22 +481,23 @@
         let touched = &mut self.touched;
         self.all.retain(|id, c| {
             let lasts = now - c.since;
+            // The first request of a connection is due from its start, each other one from its first byte.
+            let asks_for = if c.asked == 0 { now - c.opened } else { lasts };
             let over = match c.stage {
-                Stage::Idle if c.asked == 0 => leaving || now - c.opened >= SLOW_REQUEST_S,
-                Stage::Reading if c.asked == 0 => now - c.opened >= SLOW_REQUEST_S,
+                Stage::Idle if c.asked == 0 => leaving || asks_for >= SLOW_REQUEST_S,
                 Stage::Idle => {
                     if lasts > REST_S {
                         c.link.shrink();
                     }
                     leaving || lasts >= idle_s + IDLE_MARGIN_S
                 }
-                Stage::Reading => lasts >= SLOW_REQUEST_S,
+                Stage::Reading => asks_for >= SLOW_REQUEST_S,
                 Stage::Asked | Stage::Lent => false,
                 // It takes nothing, so there is nothing that a gentler end could bring to it.
                 Stage::Answering => return lasts < SLOW_ANSWER_S,
                 Stage::Closing => return c.lingers(now),
             };
-            if over && lasts >= SLOW_REQUEST_S + NEWS_S && c.stage == Stage::Reading {
+            if over && c.stage == Stage::Reading && asks_for >= SLOW_REQUEST_S + NEWS_S {
                 c.finish(now);
                 touched.push(*id);
             } else if over {
