--- a/src/core/tests/crossings.rs
+++ b/src/core/tests/crossings.rs
@@ -7,6 +7,10 @@
 /// What one class may look like: effect, window, deadline, worth of late answers, whether it calls and can do without.
 type Kind = (u8, f64, f64, bool, bool, bool);
 
+/// What else a customer's settings may say: cores, part of the dependency and the time that counts it, memory, crowd that
+/// is survived, longest advice, grace.
+type Place = (u32, f64, f64, f64, f64, f64, f64);
+
 /// What happens next, to which request, in which way, after how long (milliseconds).
 type Step = (u8, usize, u8, u32);
 
@@ -52,6 +56,7 @@
 struct World {
     play: Play,
     kinds: Vec<Kind>,
+    grace_s: f64,
     sent: Vec<Sent>,
     notice: Option<f64>,
     /// Nothing was looked at for a while: answers may come late for that.
@@ -59,13 +64,12 @@
 }
 
 const EFFECTS: [Effect; 3] = [Effect::Safe, Effect::Keyed, Effect::Unsafe];
-const GRACE_S: f64 = 1.0;
 const STOP_S: f64 = 2.0;
 
 impl World {
-    fn new(kinds: Vec<Kind>, cores: u32) -> World {
-        let class = |k: &Kind| Class {
-            worth: 1.0,
+    fn new(kinds: Vec<Kind>, place: Place) -> World {
+        let class = |(i, k): (usize, &Kind)| Class {
+            worth: 1.0 + i as f64,
             aim_s: k.2 * 0.5,
             deadline_s: k.2,
             effect: EFFECTS[usize::from(k.0)],
@@ -74,9 +78,13 @@
             skipped_worth: if k.5 { 0.6 } else { 0.0 },
             late_worth: if k.3 { 0.2 } else { 0.0 },
         };
-        let classes = kinds.iter().map(class).collect();
-        let play = Play::with(Settings { cores, classes, leave_grace_s: GRACE_S, ..settings() });
-        World { play, kinds, sent: Vec::new(), notice: None, paused: false }
+        let classes = kinds.iter().enumerate().map(class).collect();
+        let (cores, share, window_s, memory_kb, crowd_multiple, max_advice_s, grace_s) = place;
+        let dependency = Some(Dependency { share, window_s, linger_s: 0.1 });
+        let set =
+            Settings { cores, classes, dependency, memory_kb, crowd_multiple, max_advice_s, ..settings() };
+        let play = Play::with(Settings { leave_grace_s: grace_s, ..set });
+        World { play, kinds, grace_s, sent: Vec::new(), notice: None, paused: false }
     }
 
     fn name(i: usize) -> Rc<str> {
@@ -148,7 +156,7 @@
                 let earlier = self.runs_of(i).find(|(_, s)| covers(s)).map(|(j, _)| j);
                 let story = earlier.map(|j| (now, &self.sent[i], j, &self.sent[j]));
                 prop_assert!(story.is_none(), "r{i} runs, and its key has run: {story:?}");
-                let late = self.notice.is_some_and(|at| arrived > at + GRACE_S);
+                let late = self.notice.is_some_and(|at| arrived > at + self.grace_s);
                 prop_assert!(!late, "r{i} arrived after the grace, and runs");
                 self.sent[i].run = Run::Commanded;
             }
@@ -286,9 +294,14 @@
     let window = prop_oneof![Just(0.0), 0.01..0.3f64, 0.3..3.0f64, Just(9.0)];
     let kind = (0..3u8, window, 0.05..6.0f64, any::<bool>(), any::<bool>(), any::<bool>());
     let step = (0..16u8, 0..64usize, 0..7u8, 1..120u32);
-    let world = (proptest::collection::vec(kind, 1..5), 1..4u32, proptest::collection::vec(step, 1..300));
-    let ran = TestRunner::new_with_rng(config, dice).run(&world, |(kinds, cores, steps)| {
-        let mut world = World::new(kinds, cores);
+    let share = prop_oneof![Just(0.0), 0.1..1.0f64, 1.0..8.0f64];
+    let window = prop_oneof![Just(0.0), Just(5.0)];
+    let memory = prop_oneof![10.0..400.0f64, Just(1e6)];
+    let grace = prop_oneof![Just(0.0), Just(1.0), Just(9.0)];
+    let place = (1..4u32, share, window, memory, 0.5..10.0f64, prop_oneof![Just(0.0), Just(1.0)], grace);
+    let world = (proptest::collection::vec(kind, 1..5), place, proptest::collection::vec(step, 1..300));
+    let ran = TestRunner::new_with_rng(config, dice).run(&world, |(kinds, place, steps)| {
+        let mut world = World::new(kinds, place);
         for step in steps {
             world.step(step)?;
         }
