Let a newcomer wait while what a resting client says is looked at; end idle ones as before

Nothing says that bytes of an HTTP/2 client are a request. Change: the newcomer is kept and takes its turn once that has been looked at.

--- a/src/net/fronts/connections.rs
+++ b/src/net/fronts/connections.rs
@@ -36,9 +36,6 @@
 /// A connection that asked once and has rested for so long may be closed for a new one: a request that crosses the close
 /// within that time is sent again by whoever sent it (seconds).
 const CROSSING_S: f64 = 0.05;
-/// Callers close idle connections themselves after the time that the settings name. Ours wait so much longer: else both
-/// ends would close at once, just when the next request crosses (seconds).
-const IDLE_MARGIN_S: f64 = 2.0;
 /// After so long an idle connection keeps no buffers (seconds).
 const REST_S: f64 = 1.0;
 
@@ -218,6 +215,8 @@
     touched: Vec<u64>,
     silent_s: f64,
     most: usize,
+    /// Accepted, and waits for one that may give way to it once what has just come has been looked at.
+    next: Option<TcpStream>,
 }
 
 impl<P: Default> Connections<P> {
@@ -245,6 +244,7 @@
             touched: Vec::new(),
             silent_s: SILENT_S,
             most: usize::MAX,
+            next: None,
         }
     }
 
@@ -326,7 +326,7 @@
 
     /// Lets nobody in any more; another process goes on listening at the same socket.
     pub fn stop_listening(&mut self) {
-        self.acceptor = None;
+        (self.acceptor, self.next) = (None, None);
     }
 
     /// Lets nobody in any more, and nobody else listens: whoever the system has accepted by now is taken in first,
@@ -410,7 +410,8 @@
     pub fn accept(&mut self, now: f64) -> bool {
         for taken in 0.. {
             let Some(acceptor) = &mut self.acceptor else { return false };
-            let stream = match acceptor.accept(taken) {
+            let accepted = self.next.take().map_or_else(|| acceptor.accept(taken), Accepted::Stream);
+            let stream = match accepted {
                 Accepted::Stream(stream) => stream,
                 Accepted::Nobody => return false,
                 // An idle connection may be closed at any time: whoever waits is worth more. Where all are busy,
@@ -424,10 +425,17 @@
                 },
                 Accepted::Pause => return true,
             };
-            // Closed with its request unread, which is then a reset: as for a refused connection, nothing has run. Its
-            // front is full of connections that are busy, and one more to answer on is what its bound forbids.
-            if self.all.len() >= self.most && !matches!(self.make_room(now), Room::Made) {
-                continue;
+            if self.all.len() >= self.most {
+                match self.make_room(now) {
+                    Room::Made => {}
+                    Room::Later => {
+                        self.next = Some(stream);
+                        return true;
+                    }
+                    // Closed with its request unread, which is then a reset: as for a refused connection, nothing has
+                    // run. All are busy, and one more to answer on is what the front's bound forbids.
+                    Room::None => continue,
+                }
             }
             let id = self.poll.fresh();
             if stream.set_nonblocking(true).is_err() {
@@ -489,7 +497,7 @@
                     if lasts > REST_S {
                         c.link.shrink();
                     }
-                    leaving || lasts >= idle_s + IDLE_MARGIN_S
+                    leaving || lasts >= idle_s
                 }
                 Stage::Reading => asks_for >= SLOW_REQUEST_S,
                 Stage::Asked | Stage::Lent => false,
--- a/tests/http2/stories.rs
+++ b/tests/http2/stories.rs
@@ -604,3 +604,28 @@
         assert!(site.ended_well());
     }
 }
+
+/// What a resting client says when room is needed may be no request: it is looked at, and then gives way. Whoever came
+/// waits for that and is not closed.
+#[test]
+fn a_newcomer_waits_while_what_a_resting_client_says_is_looked_at() {
+    let site = Site::with(|_| {}, Some(&format!("{FRONT}connections = 2\n")));
+    let mut executor = site.link();
+    let (mut rests, mut busy) = (Peer::connect(&site, &[]), Peer::connect(&site, &[]));
+    let mut jobs = Vec::new();
+    for peer in [&mut rests, &mut busy] {
+        peer.ask(1, "look", None, "hello");
+        jobs.push(starts(&mut executor, "look"));
+    }
+    executor.exit(&jobs[0], "PASS", "seen");
+    assert_eq!(rests.answer(1).body, b"seen");
+    site.hang(true);
+    rests.frame(PING, 0, 0, b"whatever");
+    let mut third = Peer::connect(&site, &[]);
+    third.ask(1, "look", None, "hello");
+    site.hang(false);
+    jobs.push(starts(&mut executor, "look"));
+    executor.exit(&jobs[1], "PASS", "seen");
+    executor.exit(&jobs[2], "PASS", "seen");
+    assert_eq!((busy.answer(1).body, third.answer(1).body), (b"seen".to_vec(), b"seen".to_vec()));
+}
