--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -111,7 +111,7 @@
         stop: f64,
     },
     /// The process is about to end: all that is owed is answered now.
-    LastCall,
+    AnswerAll,
     Woken(Gauges),
     /// The operator's pools are others from now on, or none.
     Pools(Option<PoolPlan>),
@@ -422,7 +422,7 @@
             Input::Leave { notice, stop } => {
                 events.push_back(Event::Leave { ago_s: now - notice, in_s: stop - now })
             }
-            Input::LastCall => self.last_call(events, out),
+            Input::AnswerAll => self.answer_all(events, out),
             Input::Woken(gauges) => events.push_back(Event::Woken(gauges)),
             Input::Pools(plan) => events.push_back(Event::Pools(plan)),
             Input::Key(news) => self.adopt_key(&news, events, out),
@@ -599,7 +599,7 @@
 
     /// Answers all that is owed: what may have run has failed, and what has not is turned away. Guards against a stop
     /// that leaves the module no time to give up by itself.
-    fn last_call(&mut self, events: &mut VecDeque<Event>, out: &mut Vec<Command>) {
+    fn answer_all(&mut self, events: &mut VecDeque<Event>, out: &mut Vec<Command>) {
         let shares: HashSet<RequestId> = self.keys.waiting().collect();
         let owed = self.requests.iter().filter(|(_, h)| !h.answered);
         let mut owed: Vec<(RequestId, bool)> =
--- a/src/core/tests/crossings.rs
+++ b/src/core/tests/crossings.rs
@@ -263,7 +263,7 @@
                 self.tell(Input::Leave { notice, stop: notice + STOP_S })?;
             }
             11 if way == 1 && which % 8 == 0 && self.notice.is_some() => {
-                self.tell(Input::LastCall)?;
+                self.tell(Input::AnswerAll)?;
                 let owed = self.find(0, |s| s.waits && s.answer.is_none());
                 prop_assert!(owed.is_none(), "r{owed:?} has no answer after the last call");
             }
--- a/src/net/fronts/connections.rs
+++ b/src/net/fronts/connections.rs
@@ -332,7 +332,7 @@
     /// Lets nobody in any more, and nobody else listens: whoever the system has accepted by now is taken in first,
     /// since the close of the socket resets what waits there, requests and all. Between the last look and the close
     /// there is no more than a system call. `false` where some may still wait, until others have been looked at.
-    pub fn close_door(&mut self, now: f64) -> bool {
+    pub fn close_listener(&mut self, now: f64) -> bool {
         // The system knows better than what the loop saw a moment ago.
         self.mark_listener();
         if self.accept(now) {
--- a/src/net/life/leaving.rs
+++ b/src/net/life/leaving.rs
@@ -1,4 +1,4 @@
-//! The graceful shutdown: the notice to leave, the door, the grace, the end. Also the sweep of connections.
+//! The graceful shutdown: the notice to leave, the grace, the listeners, the end. Also the sweep of connections.
 
 mod timeline;
 
@@ -9,12 +9,12 @@
 use crate::net::Worker;
 use timeline::Timeline;
 
-/// How long the door has been closed when connections that rest are ended for good: a request that crosses the close
+/// How long the listeners have been closed when idle connections are ended for good: a request that crosses the close
 /// within 50 ms is sent anew by whoever sent it, and must be readable as lost until then (seconds).
 const CROSSING_S: f64 = 0.15;
 /// How long the process waits for peers to end too, once all answers are written (seconds).
 const LINGER_S: f64 = 0.3;
-/// Looks at the accept queues before the doors close: each takes in some dozens, and the system keeps a thousand.
+/// Looks at the accept queues before the listeners close: each takes in some dozens, and the system keeps a thousand.
 const ACCEPT_LOOKS: usize = 64;
 
 /// The notice to leave, as this loop follows it.
@@ -40,11 +40,11 @@
         let at = Timeline::new(self.turn_before, in_s, self.settings.leave_grace_s);
         self.leaving = Some(Leaving { at, closed: None, called: false });
         // The loop must look at each of these even if nothing else wakes it.
-        for at in [at.door, at.last_call, at.end] {
+        for at in [at.accept_until, at.answer_by, at.exit_by] {
             self.wheel.set(now, at - now, Timer::Again);
         }
         self.state.leaving = true;
-        inputs.push(Input::Leave { notice: at.notice, stop: at.stop });
+        inputs.push(Input::Leave { notice: at.notice, stop: at.kill_at });
         if let Some(http2) = &mut self.http2 {
             // Each connection is told to go.
             http2.connections.touch_all();
@@ -88,28 +88,28 @@
         }
     }
 
-    /// Closes the door when nothing more may be run, and ends when all is answered, written and read.
+    /// Closes the listeners when nothing more may be run, and ends when all is answered, written and read.
     pub(in crate::net) fn follow_leaving(&mut self) {
         let now = self.clock.now();
         let Some(Leaving { at, closed, called }) = self.leaving else { return };
-        if closed.is_none() && now >= at.door {
-            self.close_doors(now);
+        if closed.is_none() && now >= at.accept_until {
+            self.close_listeners(now);
             self.sweep_fronts(now, true);
             self.note(|l| l.closed = Some(now));
             // What was still taken in, and what came just now, is answered.
             self.rounds(Vec::new());
             self.wheel.set(now, CROSSING_S, Timer::Again);
         }
-        if !called && now >= at.last_call {
+        if !called && now >= at.answer_by {
             self.note(|l| l.called = true);
-            self.last_call();
+            self.answer_all();
         }
-        let last = now >= at.last_call;
+        let last = now >= at.answer_by;
         let closed = self.leaving.as_ref().and_then(|l| l.closed);
         let crossed = closed.is_some_and(|at| now >= at + CROSSING_S);
         let answered = self.all_answered();
         let over = (crossed && answered || last) && self.end_connections(now, last);
-        if over || now >= at.end {
+        if over || now >= at.exit_by {
             if let Some(Ok(state)) =
                 self.core.as_ref().and_then(Core::pools).map(|s| serde_json::to_string(&s))
             {
@@ -139,11 +139,11 @@
     }
 
     /// Lets nobody in any more at any front, after all those whom the system has accepted by now.
-    fn close_doors(&mut self, now: f64) {
+    fn close_listeners(&mut self, now: f64) {
         for _ in 0..ACCEPT_LOOKS {
-            let mut closed = self.http.connections.close_door(now);
-            closed &= self.ajp.as_mut().map_or(true, |a| a.connections.close_door(now));
-            closed &= self.http2.as_mut().map_or(true, |h| h.connections.close_door(now));
+            let mut closed = self.http.connections.close_listener(now);
+            closed &= self.ajp.as_mut().map_or(true, |a| a.connections.close_listener(now));
+            closed &= self.http2.as_mut().map_or(true, |h| h.connections.close_listener(now));
             if closed {
                 return;
             }
@@ -156,8 +156,8 @@
 
     /// Answers whatever is still owed: a stop may be too short for the module to give up in time, and a directory may
     /// be silent.
-    pub(in crate::net) fn last_call(&mut self) {
-        let mut inputs = vec![Input::LastCall];
+    pub(in crate::net) fn answer_all(&mut self) {
+        let mut inputs = vec![Input::AnswerAll];
         if let Some(ajp) = &mut self.ajp {
             let (clock, state, log) = (&self.clock, &self.state, &mut self.log);
             ajp.give_up_lookups(&mut Turn {
--- a/src/net/life/leaving/timeline/tests.rs
+++ b/src/net/life/leaving/timeline/tests.rs
@@ -5,14 +5,17 @@
 #[test]
 fn with_the_platforms_figures_the_grace_is_kept_whole() {
     let t = Timeline::new(10.0, 3.2, 2.5);
-    assert_eq!((t.door, t.stop), (12.5, 13.2));
-    assert!(t.last_call > t.door + 0.4 && t.end > t.last_call && t.end < t.stop);
+    assert_eq!((t.accept_until, t.kill_at), (12.5, 13.2));
+    assert!(t.answer_by > t.accept_until + 0.4 && t.exit_by > t.answer_by && t.exit_by < t.kill_at);
 }
 
 #[test]
 fn a_stop_shorter_than_the_margins_still_leaves_time_for_answers() {
     let t = Timeline::new(10.0, 0.1, 2.5);
-    assert!(t.door > 10.0 && t.last_call >= t.door && t.end - t.last_call >= 0.019, "{t:?}");
+    assert!(
+        t.accept_until > 10.0 && t.answer_by >= t.accept_until && t.exit_by - t.answer_by >= 0.019,
+        "{t:?}"
+    );
 }
 
 /// Whatever a customer's settings say: nobody is let in after the grace, and each step comes before the next.
@@ -24,10 +27,10 @@
     let ran = TestRunner::new_with_rng(config, dice).run(&drawn, |(notice, stop_s, grace_s)| {
         let t = Timeline::new(notice, stop_s, grace_s);
         let tiny = 1e-6;
-        prop_assert!(t.door <= t.notice + grace_s + tiny);
-        prop_assert!(t.notice <= t.door && t.door <= t.last_call + tiny);
-        prop_assert!(t.last_call <= t.end && t.end <= t.stop);
-        prop_assert!(t.stop <= t.notice + stop_s + tiny);
+        prop_assert!(t.accept_until <= t.notice + grace_s + tiny);
+        prop_assert!(t.notice <= t.accept_until && t.accept_until <= t.answer_by + tiny);
+        prop_assert!(t.answer_by <= t.exit_by && t.exit_by <= t.kill_at);
+        prop_assert!(t.kill_at <= t.notice + stop_s + tiny);
         Ok(())
     });
     ran.unwrap();
--- a/src/net/life/replacing.rs
+++ b/src/net/life/replacing.rs
@@ -303,7 +303,7 @@
                 let longest =
                     self.settings.classes.iter().map(|c| c.deadline_s).fold(LONGEST_LEAST_S, f64::max);
                 // A drain that was under way when the door went has its own stop.
-                let stop = self.leaving.as_ref().map_or(now + longest + KILL_AFTER_S, |l| l.at.stop);
+                let stop = self.leaving.as_ref().map_or(now + longest + KILL_AFTER_S, |l| l.at.kill_at);
                 r.ending = Some(stop - END_MARGIN_S);
                 self.wheel.set(now, stop - END_MARGIN_S - now, Timer::Again);
                 self.log.line("handover: told to leave; ends when nothing is owed");
@@ -577,7 +577,7 @@
         let over = !owed && others && passed && r.links.quiet();
         let over = over && !r.door.has_predecessor();
         if !over && now >= at_most {
-            self.last_call();
+            self.answer_all();
         }
         if over && self.end_connections(now, false) || now >= at_most {
             self.log.line(if over { "left with all handed over" } else { "left with answers owed" });
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -597,7 +597,7 @@
         core.count_earlier(&self.early);
         core.believe(self.replacement.as_ref().map_or(Doubt::None, Replacement::doubt));
         if let Some(leaving) = &self.leaving {
-            let (notice, stop) = (leaving.at.notice, leaving.at.stop);
+            let (notice, stop) = (leaving.at.notice, leaving.at.kill_at);
             core.handle(now, [Input::Leave { notice, stop }], &mut commands);
         }
         self.core = Some(core);
