--- a/review/standins/ajp.rs
+++ b/review/standins/ajp.rs
@@ -44,7 +44,7 @@
         over: false,
     };
     world.record_sent(&request.id, sent);
-    let retry = if request.retry { ", marked as a further try" } else { "" };
+    let retry = if request.retry { ", marked as a retry" } else { "" };
     world.note(&format!("portal: {} {} sent by user {}{retry}", request.class, request.id, request.user));
     stream.set_nodelay(true).ok()?;
     stream.set_read_timeout(Some(request.deadline + SLACK)).ok()?;
--- a/review/standins/case_directory.rs
+++ b/review/standins/case_directory.rs
@@ -1,4 +1,4 @@
-//! A portal's order runs; the directory then names another tenant for the portal, and the portal tries the order again.
+//! A portal's order runs; the directory then names another tenant for the portal, and the portal retries the order.
 
 use crate::ajp::{self, Forward};
 use crate::client::new_id;
@@ -16,10 +16,10 @@
 const USER: &str = "portal-17";
 /// The worker keeps what the directory says for this long unless an operator sets another time (`cache_s`).
 const CACHE: Duration = Duration::from_secs(60);
-/// The order's first try, the change in the directory and the further try, before and after the end of that time.
-const FIRST_TRY_BEFORE: Duration = Duration::from_millis(1500);
+/// The order's first attempt, the change in the directory and the retry, before and after the end of that time.
+const FIRST_ATTEMPT_BEFORE: Duration = Duration::from_millis(1500);
 const CHANGE_BEFORE: Duration = Duration::from_millis(400);
-const FURTHER_TRY_AFTER: Duration = Duration::from_millis(800);
+const RETRY_AFTER: Duration = Duration::from_millis(800);
 
 fn order(deadline_ms: u64, retry: bool) -> Forward {
     Forward {
@@ -63,8 +63,8 @@
     let looked_up = world.elapsed();
     ajp::send(world, portal_address, &status);
 
-    // The portal waits briefly, and its first try is given up before the run has ended.
-    world.sleep_until(looked_up + CACHE - FIRST_TRY_BEFORE);
+    // The portal waits briefly, and its first attempt is answered with a failure before the run has ended.
+    world.sleep_until(looked_up + CACHE - FIRST_ATTEMPT_BEFORE);
     ajp::send(world, portal_address, &order(400, false));
     world.wait_for("the order's run to end", Duration::from_secs(2), || {
         world.runs_of_key(KEY).iter().any(|run| run.result.is_some())
@@ -74,7 +74,7 @@
         directory.set_tenant("kustmobiel");
         world.note("directory: the portal's tenant is kustmobiel from now on");
     }
-    world.sleep_until(looked_up + CACHE + FURTHER_TRY_AFTER);
+    world.sleep_until(looked_up + CACHE + RETRY_AFTER);
     ajp::send(world, portal_address, &order(1000, true));
     std::thread::sleep(Duration::from_secs(1));
 
--- a/review/standins/case_unknown_keys.rs
+++ b/review/standins/case_unknown_keys.rs
@@ -1,5 +1,5 @@
 //! A process that falls silent is replaced, and its successor is replaced in turn. An order that ran in the first process is
-//! tried again within its window.
+//! retried within its window.
 
 use crate::client::{self, new_id, Request};
 use crate::executor::Executor;
@@ -12,9 +12,9 @@
 /// The key's window in the settings (milliseconds).
 const WINDOW_MS: u64 = 10_191;
 const RUN_TIME: Duration = Duration::from_millis(300);
-/// When the second replacement begins, and when the order is tried again, after its first try.
+/// When the second replacement begins, and when the order is retried, after its first attempt.
 const SECOND_REPLACEMENT: Duration = Duration::from_millis(3500);
-const FURTHER_TRY: Duration = Duration::from_millis(4500);
+const RETRY: Duration = Duration::from_millis(4500);
 
 fn order(retry: bool) -> Request {
     Request {
@@ -39,16 +39,16 @@
     platform.wait_until_ready(&first)?;
     std::thread::sleep(Duration::from_secs(1));
 
-    let first_try = order(false);
-    let id = first_try.id.clone();
+    let first_attempt = order(false);
+    let id = first_attempt.id.clone();
     let began = world.elapsed();
-    let first_answer = client::send(world, platform.address, first_try);
+    let first_answer = client::send(world, platform.address, first_attempt);
     world.wait_for("the order's run to go on after its call", Duration::from_secs(2), || {
         first.executor.call_has_ended(&id)
     })?;
     if trouble {
         first.stop();
-        world.note("process 1 falls silent");
+        world.note("process 1 is stopped and falls silent");
     }
     world.wait_for("the order's run to end", Duration::from_secs(2), || {
         world.runs_of_key(KEY).iter().any(|run| run.result.is_some())
@@ -63,10 +63,10 @@
     platform.wait_until_ready(&third)?;
     let second_stopped = platform.stop_old(second);
 
-    world.sleep_until(began + FURTHER_TRY);
-    let further_answer = client::send(world, platform.address, order(true));
+    world.sleep_until(began + RETRY);
+    let retry_answer = client::send(world, platform.address, order(true));
     let _ = first_answer.join();
-    let _ = further_answer.join();
+    let _ = retry_answer.join();
     let _ = first_stopped.join();
     let _ = second_stopped.join();
 
--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -88,7 +88,7 @@
             over: false,
         },
     );
-    let retry = if request.retry { ", marked as a further try" } else { "" };
+    let retry = if request.retry { ", marked as a retry" } else { "" };
     world.note(&format!("client: {} {} sent{retry}", request.class, request.id));
     let _ = stream.set_nodelay(true);
     let _ = stream.set_read_timeout(Some(request.deadline + SLACK));
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -26,7 +26,7 @@
     pub job: String,
     pub executor: String,
     pub key: Option<String>,
-    /// `X-Arrived-Ms` of the try that ran.
+    /// `X-Arrived-Ms` of the attempt that ran.
     pub arrived_ms: u64,
     /// The result, once the run has ended well.
     pub result: Option<Vec<u8>>,
