Find the entries of a key's text under all tenants together

An attempt can be compared only with the entry of its own tenant, since the table is a map from class, tenant and text. The entries of one text now stand in one list, so that the next change can compare an attempt with all of them.

--- a/src/dispatch/idempotency/entry.rs
+++ b/src/dispatch/idempotency/entry.rs
@@ -24,6 +24,19 @@
 }
 
 impl Entry {
+    /// Creates the entry of a key whose run has not ended.
+    pub(super) fn new(holder: RequestId, body_fingerprint: u64, expires_at: f64) -> Entry {
+        Entry {
+            holder,
+            body_fingerprint,
+            progress: KeyProgress::Open,
+            expires_at,
+            in_other_process: false,
+            waiting_attempts: Vec::new(),
+            previous: None,
+        }
+    }
+
     /// Returns whether another process has started the run and has not reported its end.
     #[must_use]
     pub fn is_open_in_other_process(&self) -> bool {
--- a/src/dispatch/idempotency/mod.rs
+++ b/src/dispatch/idempotency/mod.rs
@@ -9,6 +9,7 @@
 //!
 //! All times are on the event loop's clock (seconds).
 
+mod entries;
 mod entry;
 mod key;
 mod table;
--- a/src/dispatch/idempotency/table.rs
+++ b/src/dispatch/idempotency/table.rs
@@ -1,9 +1,10 @@
 //! The table of idempotency keys.
 
+use super::entries::Entries;
 use super::entry::{Entry, PreviousRun};
 use super::key::{IdempotencyKey, IdempotencyUpdate, KeyProgress};
 use crate::interface::RequestId;
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 
 /// Minimum time for which an entry is retained after its window, for attempts that arrived within the window but are
 /// read late (seconds). Longer deadlines of callers extend it.
@@ -31,7 +32,7 @@
 
 /// All idempotency keys, with limits on their number and on the total size of retained results.
 pub struct IdempotencyTable {
-    entries: HashMap<IdempotencyKey, Entry>,
+    entries: Entries,
     /// Keys with a retained result, oldest first. May contain keys that have been removed from the table since.
     served: VecDeque<IdempotencyKey>,
     pub(super) result_bytes: usize,
@@ -47,7 +48,7 @@
     #[must_use]
     pub fn new(max_result_bytes: usize, max_keys: usize, longest_deadline_s: f64) -> Self {
         IdempotencyTable {
-            entries: HashMap::new(),
+            entries: Entries::default(),
             served: VecDeque::new(),
             result_bytes: 0,
             max_result_bytes,
@@ -78,7 +79,7 @@
     /// Returns whether the table has no keys.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.entries.len() == 0
     }
 
     /// Returns the earlier attempt whose run is shared by an attempt with this key that arrived at `arrived`. A key
@@ -113,15 +114,9 @@
         body_fingerprint: u64,
         expires_at: f64,
     ) {
-        let entry = self.entries.entry(key.clone()).or_insert_with(|| Entry {
-            holder,
-            body_fingerprint,
-            progress: KeyProgress::Open,
-            expires_at,
-            in_other_process: false,
-            waiting_attempts: Vec::new(),
-            previous: None,
-        });
+        let Some(entry) = self.entries.get_mut(key) else {
+            return self.entries.insert(key, Entry::new(holder, body_fingerprint, expires_at));
+        };
         if entry.holder != holder && entry.progress != KeyProgress::Open {
             let dropped = entry.replace_previous_run();
             self.result_bytes -= dropped.map_or(0, |run| run.progress.result_bytes());
@@ -144,7 +139,7 @@
     }
 
     /// Iterates over all keys in arbitrary order.
-    pub fn keys(&self) -> impl Iterator<Item = &IdempotencyKey> {
+    pub fn keys(&self) -> impl Iterator<Item = IdempotencyKey> + '_ {
         self.entries.keys()
     }
 
@@ -156,16 +151,16 @@
     /// Returns the keys whose run another process has started and not yet reported as ended, sorted by holder.
     #[must_use]
     pub fn open_in_other_process(&self) -> Vec<OpenKey> {
-        let open = self.entries.iter().filter(|(_, entry)| entry.is_open_in_other_process());
-        let mut open: Vec<OpenKey> =
-            open.map(|(key, entry)| OpenKey { key: key.clone(), holder: entry.holder }).collect();
+        let open_keys = self.entries.keys_where(Entry::is_open_in_other_process);
+        let open_key = |key| Some(OpenKey { holder: self.entries.get(&key)?.holder, key });
+        let mut open: Vec<OpenKey> = open_keys.filter_map(open_key).collect();
         open.sort_unstable_by_key(|open| open.holder);
         open
     }
 
     /// Adds a key of the other process. `holder` must be an ID that no request here uses. A known key is not changed.
     pub fn adopt(&mut self, update: &IdempotencyUpdate, holder: RequestId) {
-        let is_new = !self.entries.contains_key(&update.key);
+        let is_new = !self.entries.contains(&update.key);
         let Some(progress) = update.progress.clone().filter(|_| is_new) else { return };
         self.retain(&update.key, holder, update.body_fingerprint, update.expires_at);
         if let Some(entry) = self.entries.get_mut(&update.key) {
@@ -236,9 +231,9 @@
         // `served` may list a key more often than the key has results. The newer result of such a key is then dropped
         // before older results of other keys.
         let entries = &self.entries;
-        self.served.retain(|key| entries.contains_key(key));
+        self.served.retain(|key| entries.contains(key));
         self.served.shrink_to(SHRINK_FACTOR * self.served.len());
-        self.entries.shrink_to(SHRINK_FACTOR * self.entries.len());
+        self.entries.shrink(SHRINK_FACTOR);
     }
 
     fn remove_expired_keys(&mut self, now: f64) {
@@ -246,8 +241,7 @@
         let is_expired = |entry: &Entry| {
             now > entry.expires_at + retention_after_window_s && entry.progress != KeyProgress::Open
         };
-        let expired = self.entries.iter().filter(|(_, entry)| is_expired(entry));
-        let expired: Vec<IdempotencyKey> = expired.map(|(key, _)| key.clone()).collect();
+        let expired: Vec<IdempotencyKey> = self.entries.keys_where(is_expired).collect();
         for key in &expired {
             self.remove(key);
         }
--- a/src/dispatch/request_handoff.rs
+++ b/src/dispatch/request_handoff.rs
@@ -103,7 +103,7 @@
                 .filter(|r| r.has_started())
                 .map(|r| r.request.name.clone())
                 .collect(),
-            keys: self.keys.keys().map(|key| self.keys.update_for(key)).collect(),
+            keys: self.keys.keys().map(|key| self.keys.update_for(&key)).collect(),
             requests,
         }
     }
