Run an order once although its tenant changes between its attempts

Cause: an idempotency key was looked up under the attempt's own tenant alone. The tenant isn't a property of the request: a directory, a rule of the operator's file or X-Org names it for each attempt. Under another tenant the key was unknown and the attempt was a new request. The same happened with rules that differ in a successor, for a retry through another frontend, and over HTTP/1.1 and HTTP/2 with another X-Org.

Change: an attempt is compared with the requests of all tenants under its class and key. It shares the run of a request with the same body of its tenant or of its principal, which is the sender that the web server has authenticated. A retry under another tenant, with the same body and without that principal, may be the same order or not: it fails, and is neither run, nor rejected, nor given the result. Anything else is new, so that different orders of two tenants under one key are independent. The fingerprint of the principal goes to a successor in an additional field of the key.

--- a/src/dispatch/arrival.rs
+++ b/src/dispatch/arrival.rs
@@ -1,7 +1,7 @@
 //! Arrival of requests: a request is added to the table and reported to the controller, or responded to immediately.
 
 use super::effects::Effects;
-use super::idempotency::{IdempotencyKey, MatchedAttempt};
+use super::idempotency::{IdempotencyKey, KeyMatch, KeyedAttempt};
 use super::in_flight::{InFlight, RequestKey};
 use super::{Command, Dispatcher, Request, Response};
 use crate::interface::{Arrival, Event};
@@ -28,11 +28,18 @@
     }
 }
 
-/// The idempotency key of a request, and the earlier attempt that it matches, if there is one.
-struct KeyedAttempt {
-    key: IdempotencyKey,
-    body_fingerprint: u64,
-    matched: Option<MatchedAttempt>,
+/// An attempt with an idempotency key, and how it relates to earlier requests with that key.
+struct MatchedAttempt {
+    attempt: KeyedAttempt,
+    key_match: KeyMatch,
+}
+
+impl MatchedAttempt {
+    /// Returns the key under which the request is known.
+    fn request_key(&self) -> RequestKey {
+        let key = self.key_match.request().map_or(&self.attempt.key, |request| &request.key);
+        RequestKey { key: key.clone(), fingerprints: self.attempt.fingerprints }
+    }
 }
 
 impl Dispatcher {
@@ -44,34 +51,32 @@
         let times = ArrivalTimes::of(&request, effects.now);
         let keyed = self.keyed_attempt(&request, times.arrived);
         if let Some(attempt) = &keyed {
-            if let Some(response) = self.response_to_unsafe_attempt(attempt, &request, &times) {
+            if let Some(response) = self.response_to_unsafe_attempt(attempt, &times) {
                 return self.respond_without_controller(&request, response, effects);
             }
         }
-        self.add_in_flight(request, keyed, &times, effects);
+        self.add_in_flight(request, keyed.as_ref(), &times, effects);
     }
 
-    fn keyed_attempt(&self, request: &Request, arrived: f64) -> Option<KeyedAttempt> {
+    fn keyed_attempt(&self, request: &Request, arrived: f64) -> Option<MatchedAttempt> {
         let key = request.key.clone()?;
-        let key = IdempotencyKey { class: request.class, tenant: request.tenant, key };
-        let body_fingerprint = self.fingerprint(&request.body);
-        let matched = self.keys.matching_attempt(&key, arrived);
-        Some(KeyedAttempt { key, body_fingerprint, matched })
+        let attempt = KeyedAttempt {
+            key: IdempotencyKey { class: request.class, tenant: request.tenant, key },
+            fingerprints: self.fingerprints(request),
+            arrived,
+            may_be_retry: request.retry || !self.marks_retries,
+        };
+        let key_match = self.keys.match_attempt(&attempt);
+        Some(MatchedAttempt { attempt, key_match })
     }
 
     /// Returns the response to an attempt that must not be admitted, because its key could run twice, because the table
     /// of keys is full, or because the attempt could be served with another request's result.
-    fn response_to_unsafe_attempt(
-        &self,
-        attempt: &KeyedAttempt,
-        request: &Request,
-        times: &ArrivalTimes,
-    ) -> Option<Response> {
-        let is_new = attempt.matched.is_none();
+    fn response_to_unsafe_attempt(&self, matched: &MatchedAttempt, times: &ArrivalTimes) -> Option<Response> {
+        let is_new = matched.key_match == KeyMatch::New;
         // The key may have run in another process. Admitting the attempt could run it twice, and a rejection would
         // claim that it has not run.
-        let may_be_retry = request.retry || !self.marks_retries;
-        if is_new && self.indeterminate_keys.covers(times.arrived, may_be_retry) {
+        if is_new && self.indeterminate_keys.covers(times.arrived, matched.attempt.may_be_retry) {
             return Some(Response::Failed);
         }
         // The attempt was unread for at least as long as keys are retained after their window, so the entry of an
@@ -79,24 +84,26 @@
         if times.read_delay_s >= self.keys.retention_after_window_s() {
             return Some(Response::DeadlineExceeded);
         }
-        if is_new && self.keys.is_full() {
-            return Some(Response::not_started());
+        match matched.key_match {
+            KeyMatch::New if self.keys.is_full() => Some(Response::not_started()),
+            // It must not be served with the other request's result.
+            KeyMatch::Conflict => Some(Response::Conflict),
+            // Its request may have run for another tenant, so it must neither run nor be rejected, and the result may be
+            // that of another sender.
+            KeyMatch::Ambiguous => Some(Response::Failed),
+            KeyMatch::New | KeyMatch::OfTenant(_) | KeyMatch::OfPrincipal(_) => None,
         }
-        // All attempts of a request carry the same body, so this is a different request under the same key. It must not
-        // be served with the first request's result.
-        let other_body = |matched: &MatchedAttempt| matched.body_fingerprint != attempt.body_fingerprint;
-        attempt.matched.as_ref().is_some_and(other_body).then_some(Response::Conflict)
     }
 
     fn add_in_flight(
         &mut self,
         request: Request,
-        keyed: Option<KeyedAttempt>,
+        keyed: Option<&MatchedAttempt>,
         times: &ArrivalTimes,
         effects: &mut Effects<'_>,
     ) {
         let id = self.next_id();
-        let matched = keyed.as_ref().and_then(|attempt| attempt.matched.as_ref());
+        let matched = keyed.and_then(|keyed| keyed.key_match.request());
         effects.events.push_back(Event::Arrived(Arrival {
             id,
             class: request.class,
@@ -106,12 +113,11 @@
             read_delay_s: times.read_delay_s,
             time_left_s: Some(times.time_left_s),
             estimate_s: request.estimate_s,
-            retry_of: matched.map(|m| m.holder),
+            retry_of: matched.map(|request| request.holder),
             retry: request.retry,
         }));
         let deadline = effects.now + times.time_left_s;
-        let key =
-            keyed.map(|attempt| RequestKey { key: attempt.key, body_fingerprint: attempt.body_fingerprint });
+        let key = keyed.map(MatchedAttempt::request_key);
         self.in_flight.insert(id, InFlight::new(request, times.arrived, deadline, key));
     }
 
--- a/src/dispatch/idempotency/entries.rs
+++ b/src/dispatch/idempotency/entries.rs
@@ -3,6 +3,7 @@
 
 use super::entry::Entry;
 use super::key::IdempotencyKey;
+use super::matching::KeyedEntry;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -72,6 +73,16 @@
         Some(removed.entry)
     }
 
+    /// Iterates over the entries of all tenants for the class and text of a key, oldest first unless one was removed.
+    pub(super) fn of_all_tenants<'a>(
+        &'a self,
+        key: &'a IdempotencyKey,
+    ) -> impl Iterator<Item = KeyedEntry<'a>> {
+        let scoped = self.by_text.get(&key.key).into_iter().flatten();
+        let of_class = scoped.filter(|scoped| scoped.class == key.class);
+        of_class.map(|scoped| KeyedEntry { key: scoped.key(&key.key), entry: &scoped.entry })
+    }
+
     /// Iterates over the keys in arbitrary order.
     pub(super) fn keys(&self) -> impl Iterator<Item = IdempotencyKey> + '_ {
         self.keys_where(|_| true)
--- a/src/dispatch/idempotency/entry.rs
+++ b/src/dispatch/idempotency/entry.rs
@@ -1,6 +1,7 @@
 //! The table entry of one idempotency key: its current run and the previous one.
 
 use super::key::KeyProgress;
+use super::matching::RequestFingerprints;
 use crate::interface::RequestId;
 
 /// The state of one key.
@@ -8,8 +9,8 @@
 pub struct Entry {
     /// The request that runs or has run for this key.
     pub holder: RequestId,
-    /// Fingerprint of the body of the holder and its retries.
-    pub(super) body_fingerprint: u64,
+    /// Fingerprints of the holder's request.
+    pub(super) fingerprints: RequestFingerprints,
     /// Progress of the holder's run.
     pub progress: KeyProgress,
     /// When its window ends.
@@ -23,12 +24,19 @@
     pub(super) previous: Option<PreviousRun>,
 }
 
+/// The request that a run belongs to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct RunIdentity {
+    pub(super) holder: RequestId,
+    pub(super) fingerprints: RequestFingerprints,
+}
+
 impl Entry {
     /// Creates the entry of a key whose run has not ended.
-    pub(super) fn new(holder: RequestId, body_fingerprint: u64, expires_at: f64) -> Entry {
+    pub(super) fn new(holder: RequestId, fingerprints: RequestFingerprints, expires_at: f64) -> Entry {
         Entry {
             holder,
-            body_fingerprint,
+            fingerprints,
             progress: KeyProgress::Open,
             expires_at,
             in_other_process: false,
@@ -43,6 +51,16 @@
         self.in_other_process && self.progress == KeyProgress::Open
     }
 
+    /// Returns the run whose window covers an attempt that arrived at `arrived`. A run that is still open covers every
+    /// attempt, so that no second run starts beside one that hangs.
+    pub(super) fn run_for(&self, arrived: f64) -> Option<RunIdentity> {
+        if let Some(PreviousRun { holder, fingerprints, .. }) = self.previous_for(arrived) {
+            return Some(RunIdentity { holder: *holder, fingerprints: *fingerprints });
+        }
+        let covers = arrived <= self.expires_at || self.progress == KeyProgress::Open;
+        covers.then_some(RunIdentity { holder: self.holder, fingerprints: self.fingerprints })
+    }
+
     /// Returns the previous run if its window covers an attempt that arrived at `arrived`.
     pub(super) fn previous_for(&self, arrived: f64) -> Option<&PreviousRun> {
         self.previous.as_ref().filter(|previous| arrived <= previous.expires_at)
@@ -52,7 +70,7 @@
     pub(super) fn replace_previous_run(&mut self) -> Option<PreviousRun> {
         let previous = PreviousRun {
             holder: self.holder,
-            body_fingerprint: self.body_fingerprint,
+            fingerprints: self.fingerprints,
             progress: std::mem::replace(&mut self.progress, KeyProgress::Open),
             expires_at: self.expires_at,
             in_other_process: self.in_other_process,
@@ -66,7 +84,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct PreviousRun {
     pub(super) holder: RequestId,
-    pub(super) body_fingerprint: u64,
+    pub(super) fingerprints: RequestFingerprints,
     pub(super) progress: KeyProgress,
     pub(super) expires_at: f64,
     pub(super) in_other_process: bool,
@@ -77,7 +95,7 @@
     pub(super) fn into_entry(self) -> Entry {
         Entry {
             holder: self.holder,
-            body_fingerprint: self.body_fingerprint,
+            fingerprints: self.fingerprints,
             progress: self.progress,
             expires_at: self.expires_at,
             in_other_process: self.in_other_process,
--- a/src/dispatch/idempotency/key.rs
+++ b/src/dispatch/idempotency/key.rs
@@ -1,8 +1,9 @@
 //! Idempotency keys and the progress of their runs.
 
+use super::matching::RequestFingerprints;
 use std::rc::Rc;
 
-/// An idempotency key, scoped to its class and tenant.
+/// An idempotency key, scoped to its class and to the tenant of the first attempt that carried it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct IdempotencyKey {
     /// Index of the class.
@@ -39,8 +40,8 @@
 pub struct IdempotencyUpdate {
     /// The key.
     pub key: IdempotencyKey,
-    /// Fingerprint of the request body that came with the key.
-    pub body_fingerprint: u64,
+    /// Fingerprints of the request that came with the key.
+    pub fingerprints: RequestFingerprints,
     /// When its window ends (event loop's clock, seconds).
     pub expires_at: f64,
     /// Progress of its run; `None` if the run certainly never started.
--- a/src/dispatch/idempotency/mod.rs
+++ b/src/dispatch/idempotency/mod.rs
@@ -12,10 +12,12 @@
 mod entries;
 mod entry;
 mod key;
+mod matching;
 mod table;
 #[cfg(test)]
 mod tests;
 
 pub use entry::Entry;
 pub use key::{IdempotencyKey, IdempotencyUpdate, KeyProgress};
-pub use table::{IdempotencyTable, MatchedAttempt, OpenKey};
+pub use matching::{KeyMatch, KeyedAttempt, MatchedRequest, RequestFingerprints};
+pub use table::{IdempotencyTable, OpenKey};
--- a/src/dispatch/idempotency/table.rs
+++ b/src/dispatch/idempotency/table.rs
@@ -1,8 +1,9 @@
 //! The table of idempotency keys.
 
 use super::entries::Entries;
-use super::entry::{Entry, PreviousRun};
+use super::entry::Entry;
 use super::key::{IdempotencyKey, IdempotencyUpdate, KeyProgress};
+use super::matching::{KeyMatch, KeyedAttempt, RequestFingerprints};
 use crate::interface::RequestId;
 use std::collections::VecDeque;
 
@@ -12,15 +13,6 @@
 /// Collections are shrunk to this multiple of their length.
 const SHRINK_FACTOR: usize = 4;
 
-/// The earlier attempt whose run an attempt shares.
-#[derive(Debug, PartialEq)]
-pub struct MatchedAttempt {
-    /// The request that runs or has run.
-    pub holder: RequestId,
-    /// Fingerprint of its body.
-    pub body_fingerprint: u64,
-}
-
 /// A key whose run has not ended.
 #[derive(Debug, PartialEq)]
 pub struct OpenKey {
@@ -82,17 +74,10 @@
         self.entries.len() == 0
     }
 
-    /// Returns the earlier attempt whose run is shared by an attempt with this key that arrived at `arrived`. A key
-    /// whose run is still open matches at any time, so that no second run starts beside one that hangs.
+    /// Returns how an attempt relates to the earlier requests with its key.
     #[must_use]
-    pub fn matching_attempt(&self, key: &IdempotencyKey, arrived: f64) -> Option<MatchedAttempt> {
-        let entry = self.entries.get(key)?;
-        if let Some(previous) = entry.previous_for(arrived) {
-            let PreviousRun { holder, body_fingerprint, .. } = *previous;
-            return Some(MatchedAttempt { holder, body_fingerprint });
-        }
-        let matches = arrived <= entry.expires_at || entry.progress == KeyProgress::Open;
-        matches.then_some(MatchedAttempt { holder: entry.holder, body_fingerprint: entry.body_fingerprint })
+    pub fn match_attempt(&self, attempt: &KeyedAttempt) -> KeyMatch {
+        attempt.best_match(self.entries.of_all_tenants(&attempt.key))
     }
 
     /// Returns the progress of the key's previous run if an attempt that arrived at `arrived` shares that run.
@@ -111,18 +96,18 @@
         &mut self,
         key: &IdempotencyKey,
         holder: RequestId,
-        body_fingerprint: u64,
+        fingerprints: RequestFingerprints,
         expires_at: f64,
     ) {
         let Some(entry) = self.entries.get_mut(key) else {
-            return self.entries.insert(key, Entry::new(holder, body_fingerprint, expires_at));
+            return self.entries.insert(key, Entry::new(holder, fingerprints, expires_at));
         };
         if entry.holder != holder && entry.progress != KeyProgress::Open {
             let dropped = entry.replace_previous_run();
             self.result_bytes -= dropped.map_or(0, |run| run.progress.result_bytes());
         }
         entry.holder = holder;
-        entry.body_fingerprint = body_fingerprint;
+        entry.fingerprints = fingerprints;
         entry.expires_at = expires_at;
     }
 
@@ -132,7 +117,7 @@
         let entry = self.entries.get(key);
         IdempotencyUpdate {
             key: key.clone(),
-            body_fingerprint: entry.map_or(0, |e| e.body_fingerprint),
+            fingerprints: entry.map_or(RequestFingerprints { body: 0, principal: None }, |e| e.fingerprints),
             expires_at: entry.map_or(0.0, |e| e.expires_at),
             progress: entry.map(|e| e.progress.clone()),
         }
@@ -162,7 +147,7 @@
     pub fn adopt(&mut self, update: &IdempotencyUpdate, holder: RequestId) {
         let is_new = !self.entries.contains(&update.key);
         let Some(progress) = update.progress.clone().filter(|_| is_new) else { return };
-        self.retain(&update.key, holder, update.body_fingerprint, update.expires_at);
+        self.retain(&update.key, holder, update.fingerprints, update.expires_at);
         if let Some(entry) = self.entries.get_mut(&update.key) {
             entry.in_other_process = true;
         }
--- a/src/dispatch/in_flight.rs
+++ b/src/dispatch/in_flight.rs
@@ -2,7 +2,7 @@
 //!
 //! All times are on the event loop's clock (seconds).
 
-use super::idempotency::IdempotencyKey;
+use super::idempotency::{IdempotencyKey, RequestFingerprints};
 use super::{Command, Request, Ticket};
 use crate::interface::RequestId;
 use std::collections::HashMap;
@@ -51,10 +51,10 @@
     StartedAgain,
 }
 
-/// The idempotency key of a request, and the fingerprint of its body.
+/// The idempotency key under which a request is known, and its fingerprints.
 pub(super) struct RequestKey {
     pub(super) key: IdempotencyKey,
-    pub(super) body_fingerprint: u64,
+    pub(super) fingerprints: RequestFingerprints,
 }
 
 /// A request that has been read and whose response or run is still outstanding.
--- a/src/dispatch/messages.rs
+++ b/src/dispatch/messages.rs
@@ -10,6 +10,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Ticket(pub u64);
 
+/// The sender of a request, as authenticated by the web server that forwarded it. Unlike the tenant that a directory or
+/// an operator's rule derives from it, it is the same in all attempts of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Principal {
+    /// The authenticated user, if the tenant may depend on it.
+    pub remote_user: Option<Rc<str>>,
+    /// The server name in lower case, if the tenant may depend on it.
+    pub server_name: Option<Rc<str>>,
+}
+
 /// A complete, validated request from a frontend. It gets exactly one response.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -21,6 +31,8 @@
     pub class: usize,
     /// Index of its tenant.
     pub tenant: Option<usize>,
+    /// Its sender, if the frontend derives the tenant from it.
+    pub principal: Option<Principal>,
     /// Identifies the caller.
     pub caller: u64,
     /// Memory it takes while queued (KB).
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -3,6 +3,7 @@
 mod crossings;
 mod metrics;
 mod request_handoff;
+mod tenants;
 
 use super::completion::{NOT_STARTED_RETRY_AFTER_S, OVERDUE_RUN_TIMEOUT_S};
 use super::*;
@@ -50,6 +51,7 @@
         name: format!("r{number}").into(),
         class: usize::from(!key.is_empty()),
         tenant: None,
+        principal: None,
         caller: 1,
         memory_kb: 10.0,
         read_at: None,
--- a/src/hot_restart/frame/messages.rs
+++ b/src/hot_restart/frame/messages.rs
@@ -62,7 +62,7 @@
 pub struct Key {
     /// The index of the class.
     pub class: usize,
-    /// The index of the tenant.
+    /// The index of the tenant of the first attempt that carried the key.
     pub tenant: Option<usize>,
     /// The key as the caller sent it.
     pub key: Rc<str>,
@@ -76,6 +76,10 @@
     /// Fingerprint of the body of the request.
     #[serde(rename = "print")]
     pub body_fingerprint: u64,
+    /// Fingerprint of the principal that sent the request; absent if only the tenant is known. Older processes neither send
+    /// nor read it.
+    #[serde(rename = "principal", default, skip_serializing_if = "Option::is_none")]
+    pub principal_fingerprint: Option<u64>,
     /// When the window ends in which callers may repeat the request (Unix milliseconds).
     #[serde(rename = "until_ms")]
     pub expires_at_ms: f64,
--- a/src/hot_restart/frame/tests.rs
+++ b/src/hot_restart/frame/tests.rs
@@ -6,7 +6,13 @@
 fn all_frames() -> Vec<Frame> {
     let key = Key { class: 1, tenant: Some(0), key: "k\u{e9}\"1".into() };
     let state = |outcome| {
-        Frame::Key(KeyState { key: key.clone(), body_fingerprint: u64::MAX, expires_at_ms: 1.5e12, outcome })
+        Frame::Key(KeyState {
+            key: key.clone(),
+            body_fingerprint: u64::MAX,
+            principal_fingerprint: Some(u64::MAX),
+            expires_at_ms: 1.5e12,
+            outcome,
+        })
     };
     let queued = QueuedRequest {
         name: "r1".into(),
--- a/src/net/frontends/ajp/head.rs
+++ b/src/net/frontends/ajp/head.rs
@@ -1,15 +1,19 @@
 //! Validation of a request's head, before its body has arrived.
 
 use crate::config::{AjpSettings, Identity};
+use crate::dispatch::Principal;
 use crate::interface::Idempotency;
 use crate::net::frontends::request_fields::{FieldError, RequestFields, MAX_BODY_BYTES};
 use crate::net::upstreams::ajp_codec::Forward;
 use crate::net::FrontendContext;
+use std::rc::Rc;
 
 /// A request whose head has been received.
 pub(super) struct PendingRequest {
     pub(super) class: usize,
     pub(super) tenant: Option<usize>,
+    /// The sender, if the tenant is derived from it rather than named by X-Org.
+    pub(super) principal: Option<Principal>,
     /// The identity to look up in the directory.
     pub(super) identity: Option<String>,
     pub(super) fields: RequestFields,
@@ -71,15 +75,19 @@
     }
     let mut identity = None;
     let mut tenant = None;
+    let mut principal = None;
     if let Some(source) = identity_source {
-        identity = Some(directory_identity(source, forward)?);
+        let name = directory_identity(source, forward)?;
+        principal = Some(directory_principal(source, name));
+        identity = Some(name.to_owned());
     } else if !settings.tenants.is_empty() {
         let name = settings.tenant_of(forward.remote_user, forward.server_name);
         let known = name.and_then(|name| context.catalog.tenant(name));
         tenant = Some(known.ok_or(Rejection::new(403, "unknown tenant"))?);
+        principal = Some(rule_principal(forward));
     }
     fields.set_default_arrival(unix_ms);
-    Ok(PendingRequest { class, tenant, identity, fields, content_length, body: Vec::new() })
+    Ok(PendingRequest { class, tenant, principal, identity, fields, content_length, body: Vec::new() })
 }
 
 fn read_headers(forward: &Forward) -> Result<Headers, Rejection> {
@@ -132,7 +140,7 @@
 }
 
 /// The identity under which the directory lists the tenant.
-fn directory_identity(source: Identity, forward: &Forward) -> Result<String, Rejection> {
+fn directory_identity<'a>(source: Identity, forward: &Forward<'a>) -> Result<&'a str, Rejection> {
     let identity = match source {
         Identity::RemoteUser => forward.remote_user.unwrap_or(""),
         Identity::ServerName => forward.server_name,
@@ -140,7 +148,25 @@
     if identity.is_empty() {
         return Err(Rejection::new(403, "unknown tenant"));
     }
-    Ok(identity.to_owned())
+    Ok(identity)
+}
+
+/// The sender of a request whose tenant the directory lists under this identity.
+fn directory_principal(source: Identity, identity: &str) -> Principal {
+    match source {
+        Identity::RemoteUser => Principal { remote_user: Some(identity.into()), server_name: None },
+        Identity::ServerName => {
+            Principal { remote_user: None, server_name: Some(identity.to_ascii_lowercase().into()) }
+        }
+    }
+}
+
+/// The sender of a request whose tenant the operator's rules determine. They may use both its user and its server name.
+fn rule_principal(forward: &Forward) -> Principal {
+    Principal {
+        remote_user: forward.remote_user.map(Rc::from),
+        server_name: Some(forward.server_name.to_ascii_lowercase().into()),
+    }
 }
 
 /// Compares two secrets in a time that doesn't depend on where they differ.
--- a/src/net/frontends/ajp/mod.rs
+++ b/src/net/frontends/ajp/mod.rs
@@ -6,7 +6,7 @@
 mod response;
 
 use crate::config::{AjpSettings, Identity};
-use crate::dispatch::{Input, Response, Ticket};
+use crate::dispatch::{Input, Request, Response, Ticket};
 use crate::log::LogEvent;
 use crate::net::events::FrontendEvent;
 use crate::net::frontends::connections::{
@@ -210,9 +210,9 @@
     fn dispatch(&mut self, id: u64, turn: &mut FrontendTurn<'_>) {
         let Some(connection) = self.connections.get_mut(id) else { return };
         let Some(pending) = connection.protocol_state.0.take() else { return };
-        let PendingRequest { class, tenant, fields, body, .. } = pending;
+        let PendingRequest { class, tenant, principal, fields, body, .. } = pending;
         match fields.request(Ticket(id), class, tenant, &body, &turn.context.catalog, turn.clock) {
-            Ok(request) => turn.inputs.push(Input::Arrived(request)),
+            Ok(request) => turn.inputs.push(Input::Arrived(Request { principal, ..request })),
             Err(error) => {
                 let rejection = Rejection::from(error);
                 write_response(connection, turn.clock.now(), rejection.into(), turn.context);
--- a/src/net/frontends/request_fields.rs
+++ b/src/net/frontends/request_fields.rs
@@ -215,6 +215,7 @@
             name: self.correlation_id.ok_or(FieldError::Field("X-Correlation-Id"))?,
             class,
             tenant,
+            principal: None,
             caller: self.caller.unwrap_or(0),
             memory_kb: self.need_kb.unwrap_or(DEFAULT_NEED_KB),
             read_at: Some(clock.now()),
--- a/src/net/lifecycle/hot_restart/messages.rs
+++ b/src/net/lifecycle/hot_restart/messages.rs
@@ -1,6 +1,6 @@
 //! Conversion between the dispatcher's types and the frames that are sent between two processes.
 
-use crate::dispatch::idempotency::{IdempotencyKey, IdempotencyUpdate, KeyProgress};
+use crate::dispatch::idempotency::{IdempotencyKey, IdempotencyUpdate, KeyProgress, RequestFingerprints};
 use crate::dispatch::{HandedOffRequest, Request, Ticket};
 use crate::hot_restart::frame::{Bytes, HandedOffConnection, Key, KeyOutcome, KeyState, QueuedRequest};
 use crate::net::frontends::connections::DetachedConnection;
@@ -16,7 +16,8 @@
     let IdempotencyKey { class, tenant, key } = update.key.clone();
     KeyState {
         key: Key { class, tenant, key },
-        body_fingerprint: update.body_fingerprint,
+        body_fingerprint: update.fingerprints.body,
+        principal_fingerprint: update.fingerprints.principal,
         expires_at_ms: epoch_unix_ms + update.expires_at * 1000.0,
         outcome: match &update.progress {
             Some(KeyProgress::Open) => KeyOutcome::Open,
@@ -37,7 +38,10 @@
     let Key { class, tenant, key } = key_state.key;
     IdempotencyUpdate {
         key: IdempotencyKey { class, tenant, key },
-        body_fingerprint: key_state.body_fingerprint,
+        fingerprints: RequestFingerprints {
+            body: key_state.body_fingerprint,
+            principal: key_state.principal_fingerprint,
+        },
         expires_at: ((key_state.expires_at_ms - epoch_unix_ms) / 1000.0).min(latest_expiry),
         progress: match key_state.outcome {
             KeyOutcome::Open => Some(KeyProgress::Open),
@@ -71,6 +75,8 @@
         name: queued.name,
         class: queued.class,
         tenant: queued.tenant,
+        // Only HTTP requests are handed off, whose tenant comes from X-Org.
+        principal: None,
         caller: queued.caller,
         memory_kb: queued.memory_kb,
         read_at: None,
--- a/test-support/src/lib.rs
+++ b/test-support/src/lib.rs
@@ -23,7 +23,7 @@
 pub use records::RecordsPeer;
 pub use registry::RegistryPeer;
 pub use request::{unique_request_id, RequestBuilder};
-pub use settings::settings;
+pub use settings::{add_second_tenant, settings};
 pub use shared_listener::SharedListener;
 pub use timing::{is_log_timestamp, unix_ms, TIMEOUT};
 pub use worker::{PreviousPeers, WorkerUnderTest};
--- a/test-support/src/request.rs
+++ b/test-support/src/request.rs
@@ -16,6 +16,7 @@
 pub struct RequestBuilder<'a> {
     id: Option<&'a str>,
     class: &'a str,
+    tenant: &'a str,
     key: Option<&'a str>,
     body: &'a str,
     deadline_ms: u64,
@@ -31,6 +32,7 @@
         RequestBuilder {
             id: None,
             class,
+            tenant: "acme",
             key: None,
             body: "hello",
             deadline_ms: 8000,
@@ -45,6 +47,12 @@
         RequestBuilder { id: Some(id), ..self }
     }
 
+    /// Sets the tenant; by default it is that of the default settings.
+    #[must_use]
+    pub fn tenant(self, tenant: &'a str) -> RequestBuilder<'a> {
+        RequestBuilder { tenant, ..self }
+    }
+
     /// Sets the idempotency key.
     #[must_use]
     pub fn key(self, key: &'a str) -> RequestBuilder<'a> {
@@ -88,10 +96,11 @@
         let id = self.id.map_or_else(unique_request_id, str::to_owned);
         format!(
             "POST /do/{} HTTP/1.1\r\nHost: service.internal\r\nX-Correlation-Id: {id}\r\nX-Arrived-Ms: {}\r\n\
-             X-Upstream-Peer: 4\r\nX-Org: acme\r\nX-Deadline-Ms: {}\r\nX-Estimate-Ms: 12.50\r\nX-Need-Kb: 24.5\r\n\
+             X-Upstream-Peer: 4\r\nX-Org: {}\r\nX-Deadline-Ms: {}\r\nX-Estimate-Ms: 12.50\r\nX-Need-Kb: 24.5\r\n\
              X-Criticality: 0.6250\r\n{key}{}Content-Length: {}\r\n\r\n{}",
             self.class,
             self.arrived_ms,
+            self.tenant,
             self.deadline_ms,
             self.extra_headers,
             self.body.len(),
--- a/test-support/src/settings.rs
+++ b/test-support/src/settings.rs
@@ -23,3 +23,13 @@
         "clients": {"marksRetry": true}, "overShareWorth": 0.1, "servers": 2, "periodS": 0.004
     })
 }
+
+/// Adds a second tenant, named `bolt`, to the settings of a configuration.
+///
+/// # Panics
+/// Panics if the configuration has no list of tenants.
+pub fn add_second_tenant(configuration: &mut Value) {
+    let tenants = configuration["settings"]["tenants"].as_array_mut().unwrap();
+    tenants.push(json!({"name": "bolt", "quotaPerS": 1000.0, "share": 0.5}));
+    tenants[0]["share"] = json!(0.5);
+}
--- a/testbed/src/fleet/overload_storm/world.rs
+++ b/testbed/src/fleet/overload_storm/world.rs
@@ -221,6 +221,7 @@
             name: format!("{:016x}", self.last_ticket).into(),
             class: planned.class,
             tenant: Some(0),
+            principal: None,
             caller: 1,
             memory_kb: planned.memory_kb,
             read_at: None,
--- a/testbed/src/virtual_time.rs
+++ b/testbed/src/virtual_time.rs
@@ -186,6 +186,7 @@
             name: run_name(self.last_ticket).into(),
             class: planned.class,
             tenant: Some(0),
+            principal: None,
             caller: 1,
             memory_kb: planned.memory_kb,
             read_at: None,
--- a/tests/ajp/main.rs
+++ b/tests/ajp/main.rs
@@ -3,6 +3,8 @@
 mod backend;
 mod directory;
 mod frontend;
+mod ldap;
+mod tenant_change;
 
 use port_worker::net::upstreams::ajp_codec::{self, Direction, Forward, ToWebServer};
 use std::fmt::Write as _;
--- a/tests/hot_restart/peers.rs
+++ b/tests/hot_restart/peers.rs
@@ -105,7 +105,13 @@
             assert_eq!(peer.receive(), Frame::RequestListeners);
             let key = Key { class: 1, tenant: Some(0), key: "k1".into() };
             let outcome = KeyOutcome::Served(Some(Bytes(std::rc::Rc::from(*b"made up"))));
-            peer.send(&Frame::Key(KeyState { key, body_fingerprint: 0, expires_at_ms: 4e12, outcome }));
+            peer.send(&Frame::Key(KeyState {
+                key,
+                body_fingerprint: 0,
+                principal_fingerprint: None,
+                expires_at_ms: 4e12,
+                outcome,
+            }));
             peer.stream.write_all(b"\0\0\0\x05\0nonsense").unwrap();
         } else {
             peer.send(&Frame::Incompatible { reason: "version is too old".into() });
@@ -180,9 +186,14 @@
     });
     let key = Key { class: 1, tenant: Some(0), key: "k1".into() };
     let outcome = KeyOutcome::Served(Some(Bytes(std::rc::Rc::from(*b"placed"))));
-    let frame =
-        Frame::Key(KeyState { key, body_fingerprint: 7, expires_at_ms: unix_ms() as f64 + 9000.0, outcome })
-            .encode();
+    let frame = Frame::Key(KeyState {
+        key,
+        body_fingerprint: 7,
+        principal_fingerprint: None,
+        expires_at_ms: unix_ms() as f64 + 9000.0,
+        outcome,
+    })
+    .encode();
     peer.stream.write_all(&frame[..frame.len() / 2]).unwrap();
     drop(peer);
     successor.wait_log("hot_restart_peer_exited peer=predecessor");
@@ -211,7 +222,13 @@
     for n in 0..5000 {
         let key = Key { class: 1, tenant: Some(0), key: format!("k{n}").into() };
         let outcome = KeyOutcome::Served(Some(result.clone()));
-        let frame = Frame::Key(KeyState { key, body_fingerprint: 0, expires_at_ms: 4e12, outcome });
+        let frame = Frame::Key(KeyState {
+            key,
+            body_fingerprint: 0,
+            principal_fingerprint: None,
+            expires_at_ms: 4e12,
+            outcome,
+        });
         if peer.stream.write_all(&frame.encode()).is_err() {
             break;
         }
--- a/tests/http/main.rs
+++ b/tests/http/main.rs
@@ -5,6 +5,7 @@
 mod executor_link;
 mod lifecycle;
 mod requests;
+mod tenant_keys;
 
 use test_support::WorkerProgram;
 
--- a/tests/http2/requests.rs
+++ b/tests/http2/requests.rs
@@ -6,7 +6,7 @@
 use port_worker::net::upstreams::ajp_codec::{self, Direction, Forward, ToWebServer};
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use test_support::{Client, RequestBuilder, WorkerUnderTest, TIMEOUT};
+use test_support::{add_second_tenant, Client, RequestBuilder, WorkerUnderTest, TIMEOUT};
 
 #[test]
 fn attempts_with_one_key_share_one_run_across_all_frontends() {
@@ -28,6 +28,40 @@
     assert_eq!(peer.read_response(5).body, b"placed");
 }
 
+/// Guards against a second run, a rejection or a foreign result when a retry on a stream names another tenant than the
+/// attempt that ran, and against a tenant that blocks another's key.
+#[test]
+fn key_of_another_tenant_fails_a_retry_of_the_same_order_and_runs_a_different_one() {
+    let worker = WORKER.start_with(add_second_tenant, Some(FRONTEND));
+    let (mut executor, mut peer) = (worker.accept_link(), Peer::connect(&worker, &[]));
+    peer.send_request(1, "order", Some("k1"), "hello");
+    let job = expect_start(&mut executor, "order");
+    let send_retry_of_bolt = |peer: &mut Peer, stream: u32, body: &str| {
+        let mut headers = Peer::request_headers("order", Some("k1"));
+        headers
+            .iter_mut()
+            .filter(|(name, _)| name == "x-org")
+            .for_each(|(_, tenant)| *tenant = "bolt".into());
+        headers.push(pair("x-resent", "1"));
+        peer.frame(HEADERS, END_HEADERS, stream, &Peer::header_block(&headers));
+        peer.frame(DATA, END_STREAM, stream, body.as_bytes());
+    };
+    send_retry_of_bolt(&mut peer, 3, "hello");
+    assert_eq!(peer.read_response(3).status, 500);
+    send_retry_of_bolt(&mut peer, 5, "other");
+    let other_job = expect_start(&mut executor, "order");
+    executor.send_exit(&other_job, "PASS", "placed 2");
+    executor.send_exit(&job, "PASS", "placed 1");
+    assert_eq!(peer.read_response(5).body, b"placed 2");
+    assert_eq!(peer.read_response(1).body, b"placed 1");
+    send_retry_of_bolt(&mut peer, 7, "hello");
+    // The second tenant has used the key for another order by now.
+    assert_eq!(peer.read_response(7).status, 409);
+    peer.send_request(9, "order", Some("k1"), "hello");
+    assert_eq!(peer.read_response(9).body, b"placed 1");
+    executor.expect_no_command(&worker);
+}
+
 #[test]
 fn stream_reset_after_the_start_retains_the_result_for_a_retry() {
     let ajp = "[ajp]\nlisten = \"127.0.0.1:0\"\n[[ajp.route]]\npath = \"/portal/order\"\nclass = \"order\"\n";
--- a/tests/stored_forms/hand_off.rs
+++ b/tests/stored_forms/hand_off.rs
@@ -15,7 +15,13 @@
 
 fn key_state(tenant: Option<usize>, outcome: KeyOutcome) -> Frame {
     let key = Key { class: 2, tenant, key: "order/17".into() };
-    Frame::Key(KeyState { key, body_fingerprint: u64::MAX, expires_at_ms: 1_700_000_000_123.5, outcome })
+    Frame::Key(KeyState {
+        key,
+        body_fingerprint: u64::MAX,
+        principal_fingerprint: None,
+        expires_at_ms: 1_700_000_000_123.5,
+        outcome,
+    })
 }
 
 fn request_with_optional_fields() -> QueuedRequest {
@@ -124,6 +130,20 @@
     ]
 }
 
+/// Guards against a newer process whose field for the principal an older one can't read, or which can't read a key without
+/// it: the older form is that of the fixtures, which lack the field.
+#[test]
+fn principal_of_a_key_is_an_additional_field() {
+    let Frame::Key(older) = key_state(Some(1), KeyOutcome::Failed) else { unreachable!() };
+    let payload = concat!(
+        r#"{"Key":{"key":{"class":2,"tenant":1,"key":"order/17"},"print":18446744073709551615,"#,
+        r#""principal":18446744073709551614,"until_ms":1700000000123.5,"end":"Failed"}}"#
+    );
+    let newer = Frame::Key(KeyState { principal_fingerprint: Some(u64::MAX - 1), ..older });
+    assert_eq!(to_hex(&newer.encode()), to_hex(&frame_with_payload(payload, false)));
+    assert_decodes_to(payload, &newer);
+}
+
 /// Encodes a frame with this payload and descriptor flag.
 fn frame_with_payload(payload: &str, carries_descriptor: bool) -> Vec<u8> {
     let length = (payload.len() as u32).to_be_bytes();
