Fail retries that may have run in another process before the executor is up

What callers saw: a successor of an incompatible predecessor (another version, or other classes or tenants) accepts clients before its executor is up, and answered a retry of an order that had run in the predecessor with 503, which says that the order hasn't run.

Cause: without an executor there is no dispatcher, and Worker::reject_early rejected every request, since nothing has run in this process. It didn't ask whether the key may have run in another one.

Change: reject_early applies IndeterminateKeys::covers to keyed requests, as the dispatcher does later, and fails those that it covers.

--- a/src/net/worker/commands.rs
+++ b/src/net/worker/commands.rs
@@ -1,7 +1,7 @@
 //! Execution of the dispatcher's commands.
 
 use super::Worker;
-use crate::dispatch::{Command, Input, Response};
+use crate::dispatch::{Command, Input, Request, Response};
 use crate::interface::Outcome;
 use crate::log::LogEvent;
 use crate::net::events::{DroppedCommand, ExecutorEvent};
@@ -68,7 +68,7 @@
         }
     }
 
-    /// Rejects requests that arrive before the executor is up. None of them has run, so a retry is safe.
+    /// Answers requests that arrive before the executor is up. None of them runs here.
     pub(super) fn reject_early(&mut self, now: f64, inputs: &mut Vec<Input>) {
         for input in inputs.drain(..) {
             let (request, response) = match input {
@@ -81,8 +81,19 @@
                 }
                 _ => continue,
             };
+            let response =
+                if self.may_have_run_elsewhere(now, &request) { Response::Failed } else { response };
             self.early_metrics.record_response(request.class, &response);
             self.frontends.respond(now, request.ticket, response, &self.context);
         }
     }
+
+    /// Returns whether a request that this process can't run yet may be a retry of one that another process has run. A
+    /// rejection would say that it has not run.
+    fn may_have_run_elsewhere(&self, now: f64, request: &Request) -> bool {
+        let Some(hot_restart) = &self.hot_restart else { return false };
+        let may_be_retry = request.retry || !self.configuration.settings.marks_retries;
+        let arrived = request.read_at.unwrap_or(now) - request.read_delay_s;
+        request.key.is_some() && hot_restart.indeterminate_keys().covers(arrived, may_be_retry)
+    }
 }
--- a/tests/hot_restart/peers.rs
+++ b/tests/hot_restart/peers.rs
@@ -91,6 +91,28 @@
     assert!(predecessor.exits_successfully());
 }
 
+/// Guards against a rejection of an order that may have run in the other process, by a successor whose executor is not up
+/// yet: a rejection says that the order has not run.
+#[test]
+fn retries_fail_in_a_successor_of_an_incompatible_predecessor_before_its_executor_is_up() {
+    let shared = SharedListener::bind();
+    let listener = UnixListener::bind(shared.hot_restart_socket()).unwrap();
+    let mut successor = WORKER.start_on(&shared, |_| {});
+    let mut peer = ScriptedProcess::new(listener.accept().unwrap().0);
+    assert!(matches!(peer.receive(), Frame::Hello { version: VERSION, .. }));
+    peer.send(&Frame::Incompatible { reason: "version is too old".into() });
+    successor.wait_log("indeterminate_keys_changed unknown_keys=fail");
+    successor.wait_log("listeners_acquired");
+    let mut client = Client::connect(successor.http);
+    assert_eq!(client.request(&order("k1")).status, 500);
+    assert_eq!(client.request(&RequestBuilder::new("look")).status, 503);
+    // Once the predecessor has ended, first attempts have run nowhere.
+    drop((peer, listener));
+    successor.wait_log("unknown_keys=retries_fail_for_a_window");
+    assert_eq!(client.request(&retry("k1")).status, 500);
+    assert_eq!(client.request(&order("k2")).status, 503);
+}
+
 #[test]
 fn incompatible_or_malformed_predecessor_state_is_discarded() {
     for malformed in [false, true] {
