Draw the seed of generated AJP request ids in each process

What callers saw: after a hot restart, a request over AJP without X-Correlation-Id got 409.

Cause: ids are generated from the configured seed and a counter from 1, and a successor has its predecessor's seed. Its first ids were those of the predecessor's first requests, and the dispatcher turned away those that still ran there.

Change: the seed of the ids is drawn at the start of the process.

Evidence: successor_serves_requests_without_an_id_while_others_run_in_its_predecessor failed on (no run within 15 s) and passes now.

--- a/src/net/frontends/ajp/mod.rs
+++ b/src/net/frontends/ajp/mod.rs
@@ -39,23 +39,23 @@
     settings: AjpSettings,
     /// The kind of identity by which the directory finds the tenant; `None` without a directory.
     identity_source: Option<Identity>,
-    /// The seed for generated request ids.
-    seed: u64,
+    /// The seed for generated request ids; it differs between processes.
+    id_seed: u64,
     /// The number of request ids generated so far.
     generated_ids: u64,
 }
 
 impl AjpFrontend {
-    /// A frontend that doesn't listen yet.
+    /// A frontend that doesn't listen yet. `id_seed` must differ between processes that run at the same time.
     #[must_use]
     pub fn new(
         poll: &Poll,
         settings: AjpSettings,
         identity_source: Option<Identity>,
-        seed: u64,
+        id_seed: u64,
     ) -> AjpFrontend {
         let connections = Connections::new(poll, FrontendKind::Ajp, 2 * MAX_PACKET_BYTES);
-        AjpFrontend { connections, settings, identity_source, seed, generated_ids: 0 }
+        AjpFrontend { connections, settings, identity_source, id_seed, generated_ids: 0 }
     }
 
     fn process_connection(&mut self, id: u64, turn: &mut FrontendTurn<'_>) {
@@ -195,7 +195,7 @@
         let Some(pending) = &mut connection.protocol_state.0 else { return };
         if pending.fields.correlation_id.is_none() {
             self.generated_ids += 1;
-            pending.fields.correlation_id = Some(generated_id(self.seed, self.generated_ids).into());
+            pending.fields.correlation_id = Some(generated_id(self.id_seed, self.generated_ids).into());
         }
         let identity = pending.identity.take();
         let timeout_s = pending.fields.time_left(pending.class, &turn.context.catalog, turn.clock);
--- a/src/net/worker/setup.rs
+++ b/src/net/worker/setup.rs
@@ -27,6 +27,7 @@
 use crate::net::upstreams::registry::Registry;
 use crate::net::upstreams::Upstreams;
 use crate::net::{Availability, Clock, FrontendContext};
+use std::hash::{BuildHasher, RandomState};
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::rc::Rc;
@@ -119,7 +120,9 @@
 fn ajp_frontend(platform: &Config, operator: &OperatorSettings, poll: &Poll) -> Option<AjpFrontend> {
     let settings = operator.ajp.clone()?;
     let identity = operator.directory.as_ref().map(|directory| directory.identity);
-    Some(AjpFrontend::new(poll, settings, identity, platform.seed_number()))
+    // A successor has the same configured seed, and its ids must differ from those that run in its predecessor.
+    let id_seed = RandomState::new().hash_one(platform.seed_number());
+    Some(AjpFrontend::new(poll, settings, identity, id_seed))
 }
 
 fn inherited_socket(options: &StartupOptions) -> Result<Option<Rc<TcpListener>>, WorkerError> {
--- a/tests/ajp/frontend.rs
+++ b/tests/ajp/frontend.rs
@@ -3,7 +3,7 @@
 use crate::{forward, order, Ajp, FRONTEND, WORKER};
 use port_worker::net::upstreams::ajp_codec::{self, Direction, Forward, ToWebServer};
 use serde_json::json;
-use test_support::{to_base64, unix_ms, Client};
+use test_support::{reserve_address, to_base64, unix_ms, Client, SharedListener};
 
 #[test]
 fn portal_connection_serves_pings_and_bodies_in_chunks() {
@@ -175,3 +175,32 @@
     assert_eq!((&reply.body[..], reuse), (&b"placed"[..], false));
     assert!(worker.exits_successfully());
 }
+
+/// Guards against a request without an id that conflicts with one that runs in the predecessor, because both processes
+/// generate the same ids.
+#[test]
+fn successor_serves_requests_without_an_id_while_others_run_in_its_predecessor() {
+    let (reserved, address) = reserve_address();
+    drop(reserved);
+    let operator = FRONTEND.replace("127.0.0.1:0", &address.to_string());
+    let shared = SharedListener::bind();
+    let mut predecessor = WORKER.start_on_with(&shared, |_| {}, Some(&operator));
+    predecessor.wait_log("listeners_acquired");
+    let mut predecessor_executor = predecessor.accept_link();
+    let mut portals = [Ajp::connect(address), Ajp::connect(address)];
+    let execs = portals.each_mut().map(|portal| {
+        portal.send(&forward("/portal/look", ""), b"hello");
+        predecessor_executor.expect_command("EXEC")
+    });
+    let successor = WORKER.start_on_with(&shared, |_| {}, Some(&operator));
+    let mut executor = successor.accept_link();
+    successor.wait_ready();
+    let mut portal = Ajp::connect(address);
+    portal.send(&forward("/portal/look", ""), b"hello");
+    predecessor_executor.send_exit(&execs[1]["job"], "PASS", "of the predecessor");
+    assert_eq!(portals[1].read_response().0.body, b"of the predecessor");
+    let exec = executor.expect_command("EXEC");
+    assert_ne!(exec["job"], execs[0]["job"]);
+    executor.send_exit(&exec["job"], "PASS", "of the successor");
+    assert_eq!(portal.read_response().0.body, b"of the successor");
+}
