Hand a process's indeterminate keys to its successor

Cause: a process that can't know its predecessor's keys fails attempts with unknown keys (IndeterminateKeys), but that knowledge ended with it. Its successor took the keys that it was handed for complete. The same held after a process that was killed, and after a successor that died and whose predecessor was replaced later. A late state or a report could also clear the indeterminate keys of a process that had handed off itself.

Change: the predecessor's usage report carries its indeterminate keys, at the hand-off and whenever they change. ListenerOwnership sets the union of what processes that have ended, a predecessor with unknown keys, and the predecessor's report leave open. After a hand-off all unknown keys stay indeterminate in the predecessor. A predecessor that reports nothing (an older program, or one without an executor) leaves marked retries of unknown keys to fail for a window. The first usage report to a second successor is sent even if nothing has changed since the first one's.

Forms of the peer that were tried: a report with each value, one without the field, no report, and unknown fields beside it (tests/stored_forms, the frame's tests).

--- a/src/hot_restart/frame/messages.rs
+++ b/src/hot_restart/frame/messages.rs
@@ -27,7 +27,18 @@
     }
 }
 
-/// The predecessor's use of the resources that both processes share.
+/// For which of the keys that the predecessor doesn't know a request may have run in yet another process.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum IndeterminateKeysReport {
+    /// For none.
+    None,
+    /// For all: that process is alive.
+    All,
+    /// For those of retries that arrive until this time (Unix milliseconds).
+    RetriesUntil(f64),
+}
+
+/// The predecessor's use of the resources that both processes share, and what it knows of the keys of other processes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Usage {
     /// Number of runs on the cores.
@@ -40,6 +51,9 @@
     pub memory_kb: f64,
     /// Number of file descriptors.
     pub sockets: usize,
+    /// The keys that may have run in other processes. Older processes neither send nor read this.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub indeterminate_keys: Option<IndeterminateKeysReport>,
 }
 
 /// The outcome of the run of a key's request, if the run has ended.
@@ -177,7 +191,8 @@
     },
     /// The state of a key whose request may have run. Sent for all keys during the hand-off, then whenever a key changes.
     Key(KeyState),
-    /// The resources that the predecessor currently uses.
+    /// The resources that the predecessor currently uses, and its indeterminate keys. Sent during the hand-off, then whenever
+    /// they change.
     Usage(Usage),
     /// A connection that is handed off, with its descriptor.
     #[serde(rename = "Passed")]
--- a/src/hot_restart/frame/mod.rs
+++ b/src/hot_restart/frame/mod.rs
@@ -11,5 +11,6 @@
 
 pub use codec::{FrameError, HEADER_BYTES, MAX_FRAME_BYTES};
 pub use messages::{
-    Bytes, Frame, HandedOffConnection, Key, KeyOutcome, KeyState, QueuedRequest, Usage, VERSION,
+    Bytes, Frame, HandedOffConnection, IndeterminateKeysReport, Key, KeyOutcome, KeyState, QueuedRequest,
+    Usage, VERSION,
 };
--- a/src/hot_restart/frame/tests.rs
+++ b/src/hot_restart/frame/tests.rs
@@ -43,7 +43,13 @@
         state(KeyOutcome::Served(None)),
         state(KeyOutcome::Failed),
         state(KeyOutcome::NeverRan),
-        Frame::Usage(Usage { on_cores: 3, downstream_calls: 1, memory_kb: 0.5, sockets: 9 }),
+        Frame::Usage(Usage {
+            on_cores: 3,
+            downstream_calls: 1,
+            memory_kb: 0.5,
+            sockets: 9,
+            indeterminate_keys: Some(IndeterminateKeysReport::All),
+        }),
         Frame::Connection(HandedOffConnection {
             unread: Bytes(Rc::from(*b"GET /ch")),
             ..HandedOffConnection::default()
@@ -92,6 +98,7 @@
     let mut bytes = (text.len() as u32).to_be_bytes().to_vec();
     bytes.push(0);
     bytes.extend_from_slice(text);
-    let usage = Usage { on_cores: 1, downstream_calls: 0, memory_kb: 2.0, sockets: 3 };
+    let usage =
+        Usage { on_cores: 1, downstream_calls: 0, memory_kb: 2.0, sockets: 3, indeterminate_keys: None };
     assert_eq!(Frame::decode(&bytes), Ok(Some((Frame::Usage(usage), bytes.len()))));
 }
--- a/src/hot_restart/indeterminate_keys.rs
+++ b/src/hot_restart/indeterminate_keys.rs
@@ -13,6 +13,18 @@
 }
 
 impl IndeterminateKeys {
+    /// The keys that `self` or `other` covers.
+    #[must_use]
+    pub fn union(self, other: IndeterminateKeys) -> IndeterminateKeys {
+        match (self, other) {
+            (IndeterminateKeys::All, _) | (_, IndeterminateKeys::All) => IndeterminateKeys::All,
+            (IndeterminateKeys::None, keys) | (keys, IndeterminateKeys::None) => keys,
+            (IndeterminateKeys::RetriesUntil(end), IndeterminateKeys::RetriesUntil(other_end)) => {
+                IndeterminateKeys::RetriesUntil(end.max(other_end))
+            }
+        }
+    }
+
     /// Whether another process may have run an earlier attempt of a request that arrived at `arrived` with an unknown key.
     /// `may_be_retry` is `false` only if callers mark their retries and this request is not marked.
     #[must_use]
--- a/src/hot_restart/messages.rs
+++ b/src/hot_restart/messages.rs
@@ -17,8 +17,11 @@
     HelloAccepted,
     /// The predecessor is another program or another version, or it sent data that can't be decoded.
     Incompatible,
-    /// All of the predecessor's state has been received.
-    StateReceived,
+    /// All of the predecessor's state has been received, and with it for which of the keys that the predecessor doesn't know a
+    /// request may have run in yet another process.
+    StateReceived(IndeterminateKeys),
+    /// The predecessor has reported a change of these keys.
+    PredecessorKeysChanged(IndeterminateKeys),
     /// The link to the predecessor was closed.
     PredecessorDisconnected,
     /// A successor requests the listeners.
--- a/src/hot_restart/ownership.rs
+++ b/src/hot_restart/ownership.rs
@@ -33,7 +33,7 @@
 }
 
 /// What is known about the predecessor, before and after this process becomes the owner.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct Predecessor {
     /// Whether a link to it is established.
     is_connected: bool,
@@ -41,6 +41,17 @@
     awaiting_late_state: bool,
     /// Whether it is alive and its keys are unknown to this process.
     keys_unknown: bool,
+    /// For which of the keys that are unknown to it a request may have run in yet another process. They are unknown here too.
+    indeterminate_keys: IndeterminateKeys,
+}
+
+impl Predecessor {
+    const UNKNOWN: Predecessor = Predecessor {
+        is_connected: false,
+        awaiting_late_state: false,
+        keys_unknown: false,
+        indeterminate_keys: IndeterminateKeys::None,
+    };
 }
 
 /// The state machine by which a process gets, keeps and hands off the listeners.
@@ -52,6 +63,10 @@
     shutting_down: bool,
     /// The longest window of any idempotency key (seconds).
     longest_key_window_s: f64,
+    /// The keys that may have run in processes that have ended.
+    keys_of_ended_processes: IndeterminateKeys,
+    /// The last [`Effect::SetIndeterminateKeys`].
+    last_indeterminate_keys: IndeterminateKeys,
 }
 
 impl ListenerOwnership {
@@ -61,10 +76,12 @@
     pub fn new(longest_key_window_s: f64) -> ListenerOwnership {
         ListenerOwnership {
             state: State::Waiting(Handshake::default()),
-            predecessor: Predecessor::default(),
+            predecessor: Predecessor::UNKNOWN,
             ready_to_serve: false,
             shutting_down: false,
             longest_key_window_s,
+            keys_of_ended_processes: IndeterminateKeys::None,
+            last_indeterminate_keys: IndeterminateKeys::None,
         }
     }
 
@@ -102,7 +119,8 @@
             Event::ReadyToServe => self.on_ready_to_serve(now, out),
             Event::HelloAccepted => self.on_hello_accepted(now, out),
             Event::Incompatible => self.on_incompatible(out),
-            Event::StateReceived => self.on_state_received(out),
+            Event::StateReceived(keys) => self.on_state_received(keys, out),
+            Event::PredecessorKeysChanged(keys) => self.on_predecessor_keys_changed(keys, out),
             Event::PredecessorDisconnected => self.on_predecessor_disconnected(now, out),
             Event::ListenersRequested => self.on_listeners_requested(out),
             Event::TakeoverConfirmed => self.on_takeover_confirmed(out),
@@ -120,7 +138,7 @@
 
     fn on_predecessor_dead(&mut self, now: f64, out: &mut Vec<Effect>) {
         if self.is_waiting() {
-            out.push(self.indeterminate_retries(now));
+            self.add_keys_of_ended_process(now);
             self.become_owner(out);
         }
     }
@@ -152,40 +170,52 @@
         if self.is_waiting() {
             self.predecessor.keys_unknown = true;
             out.push(Effect::WatchPredecessor);
-            out.push(Effect::SetIndeterminateKeys(IndeterminateKeys::All));
             self.become_owner(out);
         } else {
             self.predecessor.awaiting_late_state = false;
         }
     }
 
-    fn on_state_received(&mut self, out: &mut Vec<Effect>) {
+    fn on_state_received(&mut self, indeterminate_keys: IndeterminateKeys, out: &mut Vec<Effect>) {
         if self.is_waiting() {
+            self.predecessor.indeterminate_keys = indeterminate_keys;
             out.push(Effect::ConfirmTakeover);
             out.push(Effect::AdoptState);
             self.become_owner(out);
         } else if self.predecessor.awaiting_late_state {
             // The predecessor answered after the timeout, but its state is complete.
             self.predecessor.awaiting_late_state = false;
-            self.predecessor.keys_unknown = false;
-            out.push(Effect::SetIndeterminateKeys(IndeterminateKeys::None));
+            // A successor that has taken over meanwhile can't compare the fingerprints of these keys with its own, so the keys
+            // stay unknown to it.
+            if self.is_owner() {
+                self.predecessor.keys_unknown = false;
+                self.predecessor.indeterminate_keys = indeterminate_keys;
+            }
+            self.update_indeterminate_keys(out);
             out.push(Effect::AdoptState);
         }
     }
 
+    fn on_predecessor_keys_changed(&mut self, indeterminate_keys: IndeterminateKeys, out: &mut Vec<Effect>) {
+        self.predecessor.indeterminate_keys = indeterminate_keys;
+        self.update_indeterminate_keys(out);
+    }
+
     fn on_predecessor_disconnected(&mut self, now: f64, out: &mut Vec<Effect>) {
         self.predecessor.is_connected = false;
         if self.is_waiting() {
             out.push(Effect::DiscardState);
-            out.push(self.indeterminate_retries(now));
+            self.add_keys_of_ended_process(now);
             self.become_owner(out);
             return;
         }
         self.predecessor.awaiting_late_state = false;
         if std::mem::take(&mut self.predecessor.keys_unknown) {
             out.push(Effect::DiscardState);
-            out.push(self.indeterminate_retries(now));
+            self.add_keys_of_ended_process(now);
         }
+        self.keep_keys_of_ended_predecessor(now);
+        self.update_indeterminate_keys(out);
     }
 
     fn on_listeners_requested(&mut self, out: &mut Vec<Effect>) {
@@ -214,7 +244,7 @@
             }
             // The successor has ended, so the keys of the requests that it ran are unknown.
             State::Released if !self.shutting_down => {
-                out.push(self.indeterminate_retries(now));
+                self.add_keys_of_ended_process(now);
                 self.become_owner(out);
             }
             _ => {}
@@ -249,7 +279,6 @@
             out.push(Effect::RequestListeners);
         }
         out.push(Effect::ConfirmTakeover);
-        out.push(Effect::SetIndeterminateKeys(IndeterminateKeys::All));
         self.predecessor.awaiting_late_state = true;
         self.predecessor.keys_unknown = true;
         self.become_owner(out);
@@ -272,6 +301,7 @@
 
     fn become_owner(&mut self, out: &mut Vec<Effect>) {
         self.state = State::Owner;
+        self.update_indeterminate_keys(out);
         out.push(Effect::OpenListeners);
     }
 
@@ -281,7 +311,30 @@
 
     /// Marks the unknown keys of retries as indeterminate for the longest window: a process that has ended may have run
     /// their requests, whose retries arrive within that window.
-    fn indeterminate_retries(&self, now: f64) -> Effect {
-        Effect::SetIndeterminateKeys(IndeterminateKeys::RetriesUntil(now + self.longest_key_window_s))
+    fn add_keys_of_ended_process(&mut self, now: f64) {
+        let retries = IndeterminateKeys::RetriesUntil(now + self.longest_key_window_s);
+        self.keys_of_ended_processes = self.keys_of_ended_processes.union(retries);
+    }
+
+    /// Keeps what the predecessor reported about keys after it has ended. If a process before it was alive then, nothing more
+    /// will be reported of that process, which has been replaced and starts no request.
+    fn keep_keys_of_ended_predecessor(&mut self, now: f64) {
+        let reported = std::mem::replace(&mut self.predecessor.indeterminate_keys, IndeterminateKeys::None);
+        match reported {
+            IndeterminateKeys::All => self.add_keys_of_ended_process(now),
+            keys => self.keys_of_ended_processes = self.keys_of_ended_processes.union(keys),
+        }
+    }
+
+    /// Sets the indeterminate keys if they have changed: those of processes that have ended, those of a predecessor whose
+    /// keys are unknown, and those that the predecessor has reported.
+    fn update_indeterminate_keys(&mut self, out: &mut Vec<Effect>) {
+        let Predecessor { keys_unknown, indeterminate_keys, .. } = self.predecessor;
+        let of_predecessor = if keys_unknown { IndeterminateKeys::All } else { indeterminate_keys };
+        let keys = self.keys_of_ended_processes.union(of_predecessor);
+        if keys != self.last_indeterminate_keys {
+            self.last_indeterminate_keys = keys;
+            out.push(Effect::SetIndeterminateKeys(keys));
+        }
     }
 }
--- a/src/hot_restart/tests.rs
+++ b/src/hot_restart/tests.rs
@@ -1,5 +1,6 @@
 //! The effects of a single process for sequences of events.
 
+mod keys_of_a_chain;
 mod process_chain;
 
 use super::*;
@@ -29,7 +30,7 @@
     assert_eq!(effects(&mut new, 60.0 + PREDECESSOR_TIMEOUT_S / 2.0, Event::Tick), []);
     assert!(!new.is_owner());
     assert_eq!(
-        effects(&mut new, 61.0, Event::StateReceived),
+        effects(&mut new, 61.0, Event::StateReceived(IndeterminateKeys::None)),
         [Effect::ConfirmTakeover, Effect::AdoptState, Effect::OpenListeners]
     );
     assert_eq!(effects(&mut new, 70.0, Event::Tick), []);
@@ -74,7 +75,8 @@
         effects(&mut new, 0.0, event);
     }
     assert_eq!(effects(&mut new, 0.1, Event::ShutdownNotice), [Effect::ExitWhenIdle]);
-    for event in [Event::StateReceived, Event::Tick, Event::PredecessorDisconnected] {
+    for event in [Event::StateReceived(IndeterminateKeys::None), Event::Tick, Event::PredecessorDisconnected]
+    {
         assert_eq!(effects(&mut new, 9.0, event), []);
     }
     assert!(!new.is_owner() && !new.has_predecessor());
@@ -96,7 +98,7 @@
         ]
     );
     assert_eq!(
-        effects(&mut new, 5.0, Event::StateReceived),
+        effects(&mut new, 5.0, Event::StateReceived(IndeterminateKeys::None)),
         [Effect::SetIndeterminateKeys(IndeterminateKeys::None), Effect::AdoptState]
     );
     assert_eq!(effects(&mut new, 6.0, Event::PredecessorDisconnected), []);
@@ -126,9 +128,12 @@
     assert_eq!(effects(&mut new, 5.0, Event::PredecessorDisconnected), [Effect::DiscardState, indeterminate]);
     // After the takeover a damaged frame has no effect. The link stays, since its end shows that the process has ended.
     let mut new = ListenerOwnership::new(WINDOW_S);
-    for event in
-        [Event::PredecessorConnected, Event::HelloAccepted, Event::ReadyToServe, Event::StateReceived]
-    {
+    for event in [
+        Event::PredecessorConnected,
+        Event::HelloAccepted,
+        Event::ReadyToServe,
+        Event::StateReceived(IndeterminateKeys::None),
+    ] {
         effects(&mut new, 0.0, event);
     }
     assert_eq!(effects(&mut new, 1.0, Event::Incompatible), []);
--- a/src/hot_restart/tests/process_chain.rs
+++ b/src/hot_restart/tests/process_chain.rs
@@ -11,30 +11,43 @@
     Hello,
     Welcome,
     RequestListeners,
-    State(Vec<u64>),
+    State(HandedOffState),
+    /// The predecessor's indeterminate keys have changed.
+    IndeterminateKeys(IndeterminateKeys),
     TakeoverConfirmed,
     Disconnected,
 }
 
+/// The state that a process hands off.
+#[derive(Clone, Debug)]
+struct HandedOffState {
+    requests: Vec<u64>,
+    keys: BTreeSet<usize>,
+    indeterminate_keys: IndeterminateKeys,
+}
+
 /// One process of the chain; the next one is its successor.
-struct Process {
-    ownership: ListenerOwnership,
-    alive: bool,
-    hung: bool,
+pub(super) struct Process {
+    pub(super) ownership: ListenerOwnership,
+    /// Keys that it knows to have run.
+    pub(super) keys: BTreeSet<usize>,
+    pub(super) indeterminate_keys: IndeterminateKeys,
+    pub(super) alive: bool,
+    pub(super) hung: bool,
     /// Requests that it processes.
     requests: BTreeSet<u64>,
     /// Requests that it has handed off, while the successor has not confirmed the takeover.
     handed_off: BTreeSet<u64>,
-    /// Requests that it has received but must not process yet.
-    staged: Vec<u64>,
+    /// State that it has received but must not use yet.
+    staged: Option<HandedOffState>,
     from_predecessor: VecDeque<Message>,
     from_successor: VecDeque<Message>,
 }
 
 #[derive(Default)]
-struct Simulation {
-    now: f64,
-    chain: Vec<Process>,
+pub(super) struct Simulation {
+    pub(super) now: f64,
+    pub(super) chain: Vec<Process>,
     next_request: u64,
     /// Requests of processes that died.
     requests_of_dead_processes: BTreeSet<u64>,
@@ -49,7 +62,7 @@
         }
     }
 
-    fn notify_if_alive(&mut self, i: usize, event: Event) {
+    pub(super) fn notify_if_alive(&mut self, i: usize, event: Event) {
         if self.chain[i].alive && !self.chain[i].hung {
             self.notify(i, event);
         }
@@ -72,28 +85,43 @@
             Effect::SendHello => self.send_to_predecessor(i, Message::Hello),
             Effect::RequestListeners => self.send_to_predecessor(i, Message::RequestListeners),
             Effect::ConfirmTakeover => self.send_to_predecessor(i, Message::TakeoverConfirmed),
-            Effect::WatchPredecessor | Effect::DiscardState => self.chain[i].staged.clear(),
+            Effect::WatchPredecessor | Effect::DiscardState => {
+                self.chain[i].staged = None;
+            }
             Effect::AdoptState => {
-                let staged = std::mem::take(&mut self.chain[i].staged);
-                self.chain[i].requests.extend(staged);
+                let Some(staged) = self.chain[i].staged.take() else { return };
+                self.chain[i].requests.extend(staged.requests);
+                self.chain[i].keys.extend(staged.keys);
             }
             Effect::HandOff => {
                 let requests = std::mem::take(&mut self.chain[i].requests);
                 self.chain[i].handed_off = requests.clone();
-                self.send_to_successor(i, Message::State(requests.into_iter().collect()));
+                let process = &self.chain[i];
+                let state = HandedOffState {
+                    requests: requests.into_iter().collect(),
+                    keys: process.keys.clone(),
+                    indeterminate_keys: process.indeterminate_keys,
+                };
+                self.send_to_successor(i, Message::State(state));
             }
             Effect::ReleaseHandedOff => self.chain[i].handed_off.clear(),
             Effect::Reclaim => {
                 let handed_off = std::mem::take(&mut self.chain[i].handed_off);
                 self.chain[i].requests.extend(handed_off);
             }
-            Effect::OpenListeners | Effect::SetIndeterminateKeys(_) | Effect::ExitWhenIdle => {}
+            Effect::SetIndeterminateKeys(keys) => {
+                self.chain[i].indeterminate_keys = keys;
+                if self.chain[i].ownership.has_handed_off() {
+                    self.send_to_successor(i, Message::IndeterminateKeys(keys));
+                }
+            }
+            Effect::OpenListeners | Effect::ExitWhenIdle => {}
         }
     }
 
     /// Lets a process handle the next message on one of its links. Returns `false` if there is none or the process is dead or
     /// hung.
-    fn receive(&mut self, i: usize) -> bool {
+    pub(super) fn receive(&mut self, i: usize) -> bool {
         let p = &mut self.chain[i];
         if !p.alive || p.hung {
             return false;
@@ -101,10 +129,12 @@
         if let Some(message) = p.from_predecessor.pop_front() {
             match message {
                 Message::Welcome => self.notify(i, Event::HelloAccepted),
-                Message::State(requests) => {
-                    self.chain[i].staged = requests;
-                    self.notify(i, Event::StateReceived);
+                Message::State(state) => {
+                    let keys = state.indeterminate_keys;
+                    self.chain[i].staged = Some(state);
+                    self.notify(i, Event::StateReceived(keys));
                 }
+                Message::IndeterminateKeys(keys) => self.notify(i, Event::PredecessorKeysChanged(keys)),
                 Message::Disconnected => self.notify(i, Event::PredecessorDisconnected),
                 _ => {}
             }
@@ -121,7 +151,7 @@
         true
     }
 
-    fn start(&mut self) {
+    pub(super) fn start(&mut self) {
         // Only the last process can be found, and only if it owns the listeners.
         let last = self.chain.last();
         let has_predecessor = last.is_some_and(|p| p.alive && p.ownership.is_owner());
@@ -132,19 +162,26 @@
         let (ownership, empty) = (ListenerOwnership::new(WINDOW_S), BTreeSet::new());
         self.chain.push(Process {
             ownership,
+            keys: BTreeSet::new(),
+            indeterminate_keys: IndeterminateKeys::None,
             alive: true,
             hung: false,
             requests: empty.clone(),
             handed_off: empty,
-            staged: Vec::new(),
+            staged: None,
             from_predecessor: VecDeque::new(),
             from_successor: VecDeque::new(),
         });
         let i = self.chain.len() - 1;
-        self.notify(i, if has_predecessor { Event::PredecessorConnected } else { Event::NoPredecessor });
+        let found = match (has_predecessor, i) {
+            (true, _) => Event::PredecessorConnected,
+            (false, 0) => Event::NoPredecessor,
+            (false, _) => Event::PredecessorDead,
+        };
+        self.notify(i, found);
     }
 
-    fn kill(&mut self, i: usize) {
+    pub(super) fn kill(&mut self, i: usize) {
         let p = &mut self.chain[i];
         if !std::mem::replace(&mut p.alive, false) {
             return;
--- a/src/net/lifecycle/hot_restart/effects.rs
+++ b/src/net/lifecycle/hot_restart/effects.rs
@@ -60,7 +60,9 @@
         if let Some(hot_restart) = &mut self.hot_restart {
             hot_restart.indeterminate_keys = keys;
         }
-        if let Some(dispatcher) = &mut self.dispatcher {
+        // After a hand-off the successor may run any key, so all of them stay indeterminate here.
+        let has_handed_off = self.has_handed_off();
+        if let Some(dispatcher) = self.dispatcher.as_mut().filter(|_| !has_handed_off) {
             dispatcher.set_indeterminate_keys(keys);
         }
     }
--- a/src/net/lifecycle/hot_restart/messages.rs
+++ b/src/net/lifecycle/hot_restart/messages.rs
@@ -2,7 +2,10 @@
 
 use crate::dispatch::idempotency::{IdempotencyKey, IdempotencyUpdate, KeyProgress, RequestFingerprints};
 use crate::dispatch::{HandedOffRequest, Request, Ticket};
-use crate::hot_restart::frame::{Bytes, HandedOffConnection, Key, KeyOutcome, KeyState, QueuedRequest};
+use crate::hot_restart::frame::{
+    Bytes, HandedOffConnection, IndeterminateKeysReport, Key, KeyOutcome, KeyState, QueuedRequest,
+};
+use crate::hot_restart::IndeterminateKeys;
 use crate::net::frontends::connections::DetachedConnection;
 use crate::net::Clock;
 
@@ -52,6 +55,35 @@
     }
 }
 
+/// Converts indeterminate keys to their form on the link.
+pub(super) fn to_keys_report(keys: IndeterminateKeys, epoch_unix_ms: f64) -> IndeterminateKeysReport {
+    match keys {
+        IndeterminateKeys::None => IndeterminateKeysReport::None,
+        IndeterminateKeys::All => IndeterminateKeysReport::All,
+        IndeterminateKeys::RetriesUntil(end) => {
+            IndeterminateKeysReport::RetriesUntil(epoch_unix_ms + end * 1000.0)
+        }
+    }
+}
+
+/// Converts a report of the predecessor to indeterminate keys. `latest_end` is when the window of a key that is first used
+/// now ends at the latest (loop's clock, seconds). An older predecessor reports nothing, so retries of the keys that it
+/// didn't know may have run.
+pub(super) fn to_indeterminate_keys(
+    report: Option<IndeterminateKeysReport>,
+    epoch_unix_ms: f64,
+    latest_end: f64,
+) -> IndeterminateKeys {
+    match report {
+        Some(IndeterminateKeysReport::None) => IndeterminateKeys::None,
+        Some(IndeterminateKeysReport::All) => IndeterminateKeys::All,
+        Some(IndeterminateKeysReport::RetriesUntil(end_ms)) => {
+            IndeterminateKeys::RetriesUntil(((end_ms - epoch_unix_ms) / 1000.0).min(latest_end))
+        }
+        None => IndeterminateKeys::RetriesUntil(latest_end),
+    }
+}
+
 pub(super) fn to_queued_request(handed_off: &HandedOffRequest, epoch_unix_ms: f64) -> QueuedRequest {
     let request = &handed_off.request;
     QueuedRequest {
--- a/src/net/lifecycle/hot_restart/mod.rs
+++ b/src/net/lifecycle/hot_restart/mod.rs
@@ -17,8 +17,8 @@
 pub use inherited_listener::InheritedListenerError;
 pub(in crate::net) use links::Links;
 
-use crate::dispatch::{HandedOffRequest, Input};
-use crate::hot_restart::frame::Usage;
+use crate::dispatch::{HandedOffRequest, Input, ResourceUsage};
+use crate::hot_restart::frame::IndeterminateKeysReport;
 use crate::hot_restart::{Event, IndeterminateKeys, ListenerOwnership, PREDECESSOR_TIMEOUT_S};
 use crate::log::LogEvent;
 use crate::net::events::{HotRestartEvent, Peer};
@@ -30,6 +30,15 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 
+/// What a process reports to its successor whenever it changes.
+#[derive(Clone, Copy, PartialEq)]
+struct UsageReport {
+    usage: ResourceUsage,
+    /// Number of file descriptors.
+    sockets: usize,
+    indeterminate_keys: IndeterminateKeys,
+}
+
 /// The hot restart state of a worker. It exists only if the listening socket is inherited and there is a shared folder
 /// for the Unix socket.
 pub(in crate::net) struct HotRestart {
@@ -44,8 +53,10 @@
     frontend_listeners: Vec<FrontendListener>,
     /// Why a frontend could not be opened.
     frontend_error: Option<ListenError>,
-    /// The usage that was last reported to the successor.
-    reported_usage: Usage,
+    /// What was last reported to the successor; `None` if nothing was.
+    reported: Option<UsageReport>,
+    /// The predecessor's last report of its indeterminate keys.
+    predecessor_keys: Option<IndeterminateKeysReport>,
     /// The successor's hello was accepted.
     successor_accepted: bool,
     /// How unknown keys are treated unless a hand-off is in progress or complete: during and after it, the dispatcher
@@ -68,7 +79,8 @@
             handed_off_requests: Vec::new(),
             frontend_listeners: Vec::new(),
             frontend_error: None,
-            reported_usage: Usage::default(),
+            reported: None,
+            predecessor_keys: None,
             successor_accepted: false,
             indeterminate_keys: IndeterminateKeys::None,
             exit_by: None,
--- a/src/net/lifecycle/hot_restart/predecessor.rs
+++ b/src/net/lifecycle/hot_restart/predecessor.rs
@@ -2,12 +2,14 @@
 //! off.
 
 use super::frontends::{operator_frontend, MAX_LISTENERS};
-use super::messages::{loop_epoch_unix_ms, to_key_update, to_request};
+use super::messages::{loop_epoch_unix_ms, to_indeterminate_keys, to_key_update, to_request};
 use super::peer_link::ReceivedFrame;
 use super::staged_state::{PredecessorState, ReceivedConnection};
 use crate::dispatch::{Input, ResourceUsage, Ticket};
-use crate::hot_restart::frame::{Frame, HandedOffConnection, KeyState, QueuedRequest, Usage};
-use crate::hot_restart::Event;
+use crate::hot_restart::frame::{
+    Frame, HandedOffConnection, IndeterminateKeysReport, KeyState, QueuedRequest, Usage,
+};
+use crate::hot_restart::{Event, IndeterminateKeys};
 use crate::log::LogEvent;
 use crate::net::events::{HotRestartEvent, Peer};
 use crate::net::frontends::connections::DetachedConnection;
@@ -48,10 +50,10 @@
                 self.on_hot_restart_event(now, Event::Incompatible, inputs);
             }
             Frame::Key(key) => hot_restart.staged.add_key(key),
-            Frame::Usage(usage) => self.on_predecessor_usage(usage, inputs),
+            Frame::Usage(usage) => self.on_predecessor_usage(now, usage, inputs),
             Frame::Connection(connection) => self.on_connection(now, connection, descriptor, inputs),
             Frame::Listener { frontend } => self.on_listener(&frontend, descriptor),
-            Frame::StateComplete => self.on_hot_restart_event(now, Event::StateReceived, inputs),
+            Frame::StateComplete => self.on_state_complete(now, inputs),
             Frame::Drain(draining) => self.set_draining(draining),
             Frame::Hello { .. } | Frame::RequestListeners | Frame::TakeoverConfirmed => {
                 HotRestartEvent::FrameUnexpected(Peer::Predecessor).emit();
@@ -85,13 +87,37 @@
         inputs.extend(updates.map(Input::IdempotencyUpdate));
     }
 
-    fn on_predecessor_usage(&mut self, usage: Usage, inputs: &mut Vec<Input>) {
+    fn on_predecessor_usage(&mut self, now: f64, usage: Usage, inputs: &mut Vec<Input>) {
         let Some(hot_restart) = &mut self.hot_restart else { return };
-        if hot_restart.staged.adopted {
-            self.set_predecessor_usage(usage, inputs);
-        } else {
+        if !hot_restart.staged.adopted {
             hot_restart.staged.usage = usage;
+            return;
+        }
+        self.set_predecessor_usage(usage, inputs);
+        let last_report = self.hot_restart.as_ref().and_then(|r| r.predecessor_keys);
+        if usage.indeterminate_keys != last_report {
+            let keys = self.predecessor_indeterminate_keys(now, usage.indeterminate_keys);
+            self.on_hot_restart_event(now, Event::PredecessorKeysChanged(keys), inputs);
+        }
+    }
+
+    fn on_state_complete(&mut self, now: f64, inputs: &mut Vec<Input>) {
+        let report = self.hot_restart.as_ref().and_then(|r| r.staged.usage.indeterminate_keys);
+        let keys = self.predecessor_indeterminate_keys(now, report);
+        self.on_hot_restart_event(now, Event::StateReceived(keys), inputs);
+    }
+
+    /// Records the predecessor's report of its indeterminate keys, and converts it.
+    fn predecessor_indeterminate_keys(
+        &mut self,
+        now: f64,
+        report: Option<IndeterminateKeysReport>,
+    ) -> IndeterminateKeys {
+        if let Some(hot_restart) = &mut self.hot_restart {
+            hot_restart.predecessor_keys = report;
         }
+        let latest_end = now + self.max_key_retention_s();
+        to_indeterminate_keys(report, loop_epoch_unix_ms(&self.clock), latest_end)
     }
 
     fn on_connection(
@@ -151,7 +177,7 @@
     }
 
     fn set_predecessor_usage(&mut self, usage: Usage, inputs: &mut Vec<Input>) {
-        let Usage { on_cores, downstream_calls, memory_kb, sockets } = usage;
+        let Usage { on_cores, downstream_calls, memory_kb, sockets, .. } = usage;
         self.poll.set_other_process_usage(sockets);
         let usage = ResourceUsage { on_cores, downstream_calls, memory_kb };
         inputs.push(Input::PredecessorUsage(usage));
--- a/src/net/lifecycle/hot_restart/successor.rs
+++ b/src/net/lifecycle/hot_restart/successor.rs
@@ -1,6 +1,7 @@
 //! The predecessor's side of a hot restart: handling of the successor's frames, and the hand-off.
 
-use super::messages::{loop_epoch_unix_ms, to_connection, to_key_state, to_queued_request};
+use super::messages::{loop_epoch_unix_ms, to_connection, to_key_state, to_keys_report, to_queued_request};
+use super::UsageReport;
 use crate::dispatch::idempotency::IdempotencyUpdate;
 use crate::dispatch::{Command, HandOffState, HandedOffRequest, Input, ResourceUsage};
 use crate::hot_restart::frame::{Frame, Usage, VERSION};
@@ -80,6 +81,10 @@
     pub(super) fn hand_off(&mut self, now: f64, inputs: &mut Vec<Input>) {
         // Inputs gathered so far concern requests that are about to be handed off, so they are dispatched first.
         self.dispatch(now, inputs);
+        if let Some(hot_restart) = &mut self.hot_restart {
+            // An earlier successor, which has died, had the last report.
+            hot_restart.reported = None;
+        }
         let mut commands = Vec::new();
         self.close_listeners_for_hand_off();
         self.send_listeners();
@@ -220,17 +225,25 @@
         has_handed_off
     }
 
-    /// Reports the resources that this process uses to the successor, if they have changed. `uncounted_connections` are
-    /// left out.
+    /// Reports the resources that this process uses and its indeterminate keys to the successor, if they have changed.
+    /// `uncounted_connections` are left out.
     pub(super) fn report_usage(&mut self, uncounted_connections: usize) {
         let Some(dispatcher) = &self.dispatcher else { return };
-        let ResourceUsage { on_cores, downstream_calls, memory_kb } = dispatcher.usage();
+        let usage = dispatcher.usage();
         let sockets = self.poll.used().saturating_sub(uncounted_connections) + OVERHEAD_DESCRIPTORS;
-        let usage = Usage { on_cores, downstream_calls, memory_kb, sockets };
+        let epoch_unix_ms = loop_epoch_unix_ms(&self.clock);
         let Some(hot_restart) = &mut self.hot_restart else { return };
-        if hot_restart.reported_usage != usage {
-            hot_restart.reported_usage = usage;
-            hot_restart.links.send_to_successor(&Frame::Usage(usage), None);
+        let indeterminate_keys = hot_restart.indeterminate_keys;
+        let report = UsageReport { usage, sockets, indeterminate_keys };
+        if hot_restart.reported != Some(report) {
+            hot_restart.reported = Some(report);
+            hot_restart.links.send_to_successor(&Frame::Usage(usage_frame(report, epoch_unix_ms)), None);
         }
     }
 }
+
+fn usage_frame(report: UsageReport, epoch_unix_ms: f64) -> Usage {
+    let ResourceUsage { on_cores, downstream_calls, memory_kb } = report.usage;
+    let indeterminate_keys = Some(to_keys_report(report.indeterminate_keys, epoch_unix_ms));
+    Usage { on_cores, downstream_calls, memory_kb, sockets: report.sockets, indeterminate_keys }
+}
--- a/tests/hot_restart/main.rs
+++ b/tests/hot_restart/main.rs
@@ -1,6 +1,7 @@
 //! Hot restarts under load: worker processes that share listeners, and scripted processes in the role of a predecessor
 //! or successor.
 
+mod chains;
 mod lifecycle;
 mod peers;
 mod requests;
--- a/tests/stored_forms/hand_off.rs
+++ b/tests/stored_forms/hand_off.rs
@@ -3,8 +3,8 @@
 use crate::learned::learned;
 use crate::{fixture_lines, from_hex, pair_with_fixture, to_hex};
 use port_worker::hot_restart::frame::{
-    Bytes, Frame, HandedOffConnection, Key, KeyOutcome, KeyState, QueuedRequest, Usage, HEADER_BYTES,
-    MAX_FRAME_BYTES, VERSION,
+    Bytes, Frame, HandedOffConnection, IndeterminateKeysReport, Key, KeyOutcome, KeyState, QueuedRequest,
+    Usage, HEADER_BYTES, MAX_FRAME_BYTES, VERSION,
 };
 use port_worker::hot_restart::FingerprintKey;
 use port_worker::interface::LearnedState;
@@ -98,7 +98,13 @@
         key_state(Some(0), KeyOutcome::Failed),
         key_state(Some(0), KeyOutcome::NeverRan),
         Frame::Usage(Usage::default()),
-        Frame::Usage(Usage { on_cores: 6, downstream_calls: 4, memory_kb: 1024.75, sockets: 311 }),
+        Frame::Usage(Usage {
+            on_cores: 6,
+            downstream_calls: 4,
+            memory_kb: 1024.75,
+            sockets: 311,
+            indeterminate_keys: None,
+        }),
         Frame::Connection(HandedOffConnection::default()),
         connection_with(Some(request_without_optional_fields())),
         connection_with(Some(request_with_optional_fields())),
@@ -124,7 +130,13 @@
             running: vec![],
         },
         key_state(None, KeyOutcome::Open),
-        Frame::Usage(Usage { on_cores: 1, downstream_calls: 2, memory_kb: 3.0, sockets: 4 }),
+        Frame::Usage(Usage {
+            on_cores: 1,
+            downstream_calls: 2,
+            memory_kb: 3.0,
+            sockets: 4,
+            indeterminate_keys: None,
+        }),
         Frame::Connection(HandedOffConnection { queued_request: None, ..connection.clone() }),
         Frame::Connection(connection),
     ]
@@ -144,6 +156,24 @@
     assert_decodes_to(payload, &newer);
 }
 
+/// Guards against a report of the predecessor that an older process can't read, or whose field a newer one requires: the
+/// older form is that of the fixtures, which lack the field.
+#[test]
+fn indeterminate_keys_of_a_usage_report_are_an_additional_field() {
+    for (report, text) in [
+        (IndeterminateKeysReport::None, r#""None""#),
+        (IndeterminateKeysReport::All, r#""All""#),
+        (IndeterminateKeysReport::RetriesUntil(1_700_000_010_191.5), r#"{"RetriesUntil":1700000010191.5}"#),
+    ] {
+        let payload = format!(
+            r#"{{"Usage":{{"on_cores":0,"calling":0,"kb":0.0,"sockets":0,"indeterminate_keys":{text}}}}}"#
+        );
+        let frame = Frame::Usage(Usage { indeterminate_keys: Some(report), ..Usage::default() });
+        assert_eq!(to_hex(&frame.encode()), to_hex(&frame_with_payload(&payload, false)));
+        assert_decodes_to(&payload, &frame);
+    }
+}
+
 /// Encodes a frame with this payload and descriptor flag.
 fn frame_with_payload(payload: &str, carries_descriptor: bool) -> Vec<u8> {
     let length = (payload.len() as u32).to_be_bytes();
