End a replaced holder's scheduled call before its process exits

Cause: a leaving member releases the lease of a call when the call has ended, but advance_exit_after_hand_off didn't ask the membership, and exited as soon as requests and connections had been handed off.

Change: the exit waits until the member has left, within the bound that it has. A call that outlives the bound is reported as unknown, and its lease expires. The shutdown after SIGTERM does the same. A leaving worker that gets its link back closes its session.

--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -170,20 +170,27 @@
 
     /// Called when a scheduled call has ended. `task` is the index of its task in the configuration.
     pub fn call_ended(&mut self, now: f64, task: usize, outcome: CallOutcome) {
-        let Some(scheduled) = self.tasks.get_mut(task) else { return };
-        if let Some(report) = scheduled.call_ended(now, outcome) {
-            let name = scheduled.schedule.name.clone();
-            if outcome != CallOutcome::Done {
-                self.log(MembershipEvent::ScheduledCallFailed { task: name.clone(), outcome });
-            }
+        if let Some(report) = self.report_call_end(now, task, outcome) {
             self.send(report);
             if !self.may_take_tasks() {
+                let name = self.tasks[task].schedule.name.clone();
                 self.release(&name, false, self.is_replaced());
             }
         }
         self.send_goodbye_when_idle();
     }
 
+    /// Ends a scheduled call and returns the report of its outcome; `None` if no call of the task was in flight.
+    fn report_call_end(&mut self, now: f64, task: usize, outcome: CallOutcome) -> Option<ClientMessage> {
+        let scheduled = self.tasks.get_mut(task)?;
+        let report = scheduled.call_ended(now, outcome)?;
+        if outcome != CallOutcome::Done {
+            let task = scheduled.schedule.name.clone();
+            self.log(MembershipEvent::ScheduledCallFailed { task, outcome });
+        }
+        Some(report)
+    }
+
     /// When the next tick is due.
     #[must_use]
     pub fn next_wakeup(&self, now: f64) -> f64 {
--- a/src/fleet/member/leaving.rs
+++ b/src/fleet/member/leaving.rs
@@ -1,7 +1,7 @@
 //! Releases leases when a worker drains, leaves its fleet, or fails at a task, and ends its membership.
 
 use super::FleetMember;
-use crate::fleet::frame::{ClientMessage, LeaseRef};
+use crate::fleet::frame::{CallOutcome, ClientMessage, LeaseRef};
 use crate::fleet::tasks::ScheduledTask;
 use crate::fleet::MembershipEvent;
 
@@ -72,11 +72,33 @@
 
     /// Closes the session of a leaving worker once no scheduled call is in flight.
     pub(super) fn send_goodbye_when_idle(&mut self) {
+        let is_calling = self.is_calling();
         let Some(leave_state) = &mut self.leave_state else { return };
-        let is_calling = self.tasks.iter().any(ScheduledTask::is_calling);
         if !leave_state.goodbye_sent && self.session.is_established() && !is_calling {
             leave_state.goodbye_sent = true;
             self.send(ClientMessage::Goodbye);
         }
     }
+
+    /// Whether a leaving worker has ended its scheduled calls and closed its session. Without a link the session can't be
+    /// closed, and expires.
+    #[must_use]
+    pub fn has_left(&self) -> bool {
+        let Some(leave_state) = &self.leave_state else { return false };
+        !self.is_calling() && (leave_state.goodbye_sent || !self.session.is_established())
+    }
+
+    /// Reports the scheduled calls in flight as indeterminate, since the process ends before them. Their leases are not
+    /// released, because the calls may still be carried out: the leases expire.
+    pub fn abandon_calls(&mut self, now: f64) {
+        for index in 0..self.tasks.len() {
+            if let Some(report) = self.report_call_end(now, index, CallOutcome::Unknown) {
+                self.send(report);
+            }
+        }
+    }
+
+    fn is_calling(&self) -> bool {
+        self.tasks.iter().any(ScheduledTask::is_calling)
+    }
 }
--- a/src/fleet/member/receive.rs
+++ b/src/fleet/member/receive.rs
@@ -56,6 +56,8 @@
         for task in &mut self.tasks {
             self.actions.extend(task.reconnected(now).map(MemberAction::Send));
         }
+        // The worker may have begun to leave while it had no link.
+        self.send_goodbye_when_idle();
     }
 
     fn update_overload(&mut self, seq: u64, digest: Option<&FleetDigest>) {
--- a/src/fleet/member/tests.rs
+++ b/src/fleet/member/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::fleet::frame::{LeaseRef, ServerMessage};
+use crate::fleet::frame::{LeaseRef, RenewedLease, ServerMessage};
 use crate::fleet::tasks::Schedule;
 
 fn address(port: u16) -> SocketAddr {
@@ -90,3 +90,71 @@
     });
     assert_eq!(member.take_actions(), [lease_lost, MemberAction::Close]);
 }
+
+/// A member with a scheduled call in flight, made under the lease with token 3.
+fn member_with_call() -> FleetMember {
+    let mut member = member_with_lease();
+    member.tick(1.0, Counters::new);
+    let renewal = RenewedLease { lease: lease(3), ttl_ms: 3000 };
+    let ack = ServerMessage::HeartbeatAck {
+        seq: 1,
+        leases: vec![renewal],
+        totals: None,
+        counters: Vec::new(),
+        overload: None,
+    };
+    member.receive(1.1, &ack);
+    member.tick(1.1, Counters::new);
+    member.receive(1.2, &ServerMessage::PeriodBegun { lease: lease(3), period: 7, attempt: 1 });
+    let calls = member.take_actions().into_iter().filter(|action| matches!(action, MemberAction::Call(_)));
+    assert_eq!(calls.count(), 1);
+    member
+}
+
+fn ended(outcome: CallOutcome) -> ClientMessage {
+    ClientMessage::EndPeriod { lease: lease(3), period: 7, outcome }
+}
+
+/// Guards against a process that exits during a scheduled call: its lease would be free only when it expires.
+#[test]
+fn a_replaced_worker_has_left_when_its_call_has_ended_and_its_lease_is_passed_on() {
+    let mut member = member_with_call();
+    member.leave(true);
+    assert_eq!((sent(&mut member), member.has_left()), (vec![], false));
+    member.call_ended(1.3, 0, CallOutcome::Done);
+    let messages = [ended(CallOutcome::Done), released(3, true), ClientMessage::Goodbye];
+    assert_eq!(sent(&mut member), messages);
+    assert!(member.has_left());
+}
+
+#[test]
+fn a_call_that_outlives_its_process_is_indeterminate_and_its_lease_is_not_released() {
+    let mut member = member_with_call();
+    member.leave(true);
+    member.abandon_calls(1.3);
+    assert_eq!(sent(&mut member), [ended(CallOutcome::Unknown)]);
+    member.call_ended(1.4, 0, CallOutcome::Done);
+    assert!(!sent(&mut member).contains(&ended(CallOutcome::Done)));
+}
+
+/// Guards against a leaving worker that waits for its session to be closed although nobody closes it.
+#[test]
+fn a_worker_without_a_link_has_left_and_closes_its_session_if_the_link_returns() {
+    let mut member = member_with_lease();
+    member.disconnected(2.0);
+    assert!(!member.has_left());
+    member.leave(false);
+    assert!(member.has_left());
+    member.tick(4.0, Counters::new);
+    member.connected();
+    member.take_actions();
+    let welcome = ServerMessage::Welcome {
+        session: 5,
+        session_ttl_ms: 3000,
+        heartbeat_interval_ms: 500,
+        version: VERSION,
+    };
+    member.receive(4.0, &welcome);
+    assert!(sent(&mut member).contains(&ClientMessage::Goodbye));
+    assert!(member.has_left());
+}
--- a/src/net/lifecycle/fleet.rs
+++ b/src/net/lifecycle/fleet.rs
@@ -44,6 +44,18 @@
         }
     }
 
+    /// Whether this process, which is to exit, has ended its scheduled calls and closed its session. True outside a fleet.
+    pub(in crate::net) fn has_left_fleet(&self) -> bool {
+        self.upstreams.coordinators.as_ref().is_none_or(CoordinatorLink::has_left)
+    }
+
+    /// Reports the scheduled calls that are still in flight when this process must exit.
+    pub(in crate::net) fn abandon_scheduled_calls(&mut self) {
+        if let Some(coordinators) = &mut self.upstreams.coordinators {
+            coordinators.abandon_calls();
+        }
+    }
+
     /// Passes the fleet's directive to the dispatcher. Its times are converted to the worker's clock, which stops while
     /// the machine is suspended; the membership's clock does not.
     fn apply_overload_directive(&mut self, now: f64, fleet_now: f64) {
--- a/src/net/lifecycle/hot_restart/exit.rs
+++ b/src/net/lifecycle/hot_restart/exit.rs
@@ -31,7 +31,8 @@
         HotRestartEvent::ExitPending.emit();
     }
 
-    /// Exits if everything has been handed off and connections have ended, or once `exit_by` is reached.
+    /// Exits if everything has been handed off, connections have ended and the process has left the fleet, or once `exit_by`
+    /// is reached.
     pub(in crate::net) fn advance_exit_after_hand_off(&mut self, now: f64) {
         let Some(exit_by) = self.hot_restart.as_ref().and_then(|r| r.exit_by) else { return };
         let must_exit = now >= exit_by;
@@ -39,7 +40,11 @@
         if !all_handed_off && must_exit {
             self.respond_all();
         }
-        if all_handed_off && self.end_connections(now, false) || must_exit {
+        if must_exit {
+            self.abandon_scheduled_calls();
+        }
+        let is_done = all_handed_off && self.has_left_fleet();
+        if is_done && self.end_connections(now, false) || must_exit {
             let responses = if all_handed_off { ResponseState::AllHandedOff } else { ResponseState::Pending };
             LifecycleEvent::ShutdownComplete(responses).emit();
             self.exit(now);
--- a/src/net/lifecycle/shutdown.rs
+++ b/src/net/lifecycle/shutdown.rs
@@ -81,7 +81,7 @@
     }
 
     /// Performs the steps of the shutdown that are due: closes the listeners when no further request may be accepted,
-    /// and exits when all responses are written and no request is partially read.
+    /// and exits when all responses are written, no request is partially read and the process has left the fleet.
     pub(in crate::net) fn advance_shutdown(&mut self) {
         let now = self.clock.now();
         let Some(Shutdown { timeline, listeners_closed_at, responded_all }) = self.shutdown else { return };
@@ -92,11 +92,12 @@
         if must_answer && !responded_all {
             self.update_shutdown(|shutdown| shutdown.responded_all = true);
             self.respond_all();
+            self.abandon_scheduled_calls();
         }
         let listeners_closed_at = self.shutdown.as_ref().and_then(|shutdown| shutdown.listeners_closed_at);
         let end_due = listeners_closed_at.is_some_and(|at| now >= at + END_CONNECTIONS_DELAY_S);
         let answered = self.all_answered();
-        let may_end = end_due && answered || must_answer;
+        let may_end = end_due && answered && self.has_left_fleet() || must_answer;
         let ended = may_end && self.end_connections(now, must_answer);
         if ended || now >= timeline.exit_by {
             self.log_pools();
--- a/src/net/upstreams/coordinator_link.rs
+++ b/src/net/upstreams/coordinator_link.rs
@@ -109,6 +109,22 @@
         self.schedule_next_turn(now, loop_now, wheel);
     }
 
+    /// Whether a leaving worker has nothing more to send to the coordinators.
+    #[must_use]
+    pub fn has_left(&self) -> bool {
+        let is_flushed = self.connection.as_ref().is_none_or(|connection| connection.link.queued() == 0);
+        is_flushed && self.member.has_left()
+    }
+
+    /// Ends the scheduled calls in flight and reports them as indeterminate, since the process exits now.
+    pub fn abandon_calls(&mut self) {
+        let now = self.now();
+        self.calls.clear();
+        self.member.abandon_calls(now);
+        self.execute_actions(now);
+        self.flush(now);
+    }
+
     fn close_connection(&mut self, now: f64) {
         self.connection = None;
         self.member.disconnected(now);
--- a/testbed/tests/fleet/common.rs
+++ b/testbed/tests/fleet/common.rs
@@ -75,6 +75,15 @@
         fleet
     }
 
+    /// Starts the fleet with calls that take 0.8 s and may take 3 s.
+    pub fn start_with_long_calls() -> FleetUnderTest {
+        let file = FLEET.replace("work_ms = 30", "work_ms = 800");
+        let file = file.replace("ttl_ms = 3000\ndeadline_ms = 300", "ttl_ms = 6000\ndeadline_ms = 3000");
+        let fleet = FleetUnderTest::start_processes(&file, Fencing::Enforced);
+        fleet.wait_all_tasks(2);
+        fleet
+    }
+
     /// Starts a fleet with a task that no worker carries out, since its only worker is killed.
     pub fn start_with_a_free_lease() -> FleetUnderTest {
         let file = "fleet = \"story\"\ncoordinators = 3\nworkers = 1\n\
--- a/testbed/tests/fleet/leases.rs
+++ b/testbed/tests/fleet/leases.rs
@@ -3,6 +3,7 @@
 use super::common::{is_exactly, FleetUnderTest};
 use std::time::{Duration, Instant};
 use testbed::fleet::session_load::SessionLoad;
+use testbed::fleet::task_log::TaskCall;
 
 #[test]
 fn lease_of_a_killed_holder_moves_to_another_worker() {
@@ -102,6 +103,52 @@
     fleet.assert_no_violations();
 }
 
+/// Makes the next call of "report" begin now. Returns its holder and fencing token, and the number of calls carried out
+/// before it.
+fn begin_call(fleet: &mut FleetUnderTest) -> (String, u64, usize) {
+    let holder = fleet.lease_holder("report");
+    fleet.hold_task_calls(&holder, true);
+    // Longer than a call and the pause after it, so that the call before has ended and the next one is in transit.
+    std::thread::sleep(Duration::from_millis(1500));
+    let calls = fleet.accepted_calls("report");
+    fleet.hold_task_calls(&holder, false);
+    (holder, calls.last().unwrap().token, calls.len())
+}
+
+fn first_call_after(fleet: &FleetUnderTest, token: u64) -> TaskCall {
+    fleet.wait("a call under the next token", |_| {
+        fleet.accepted_calls("report").into_iter().find(|call| call.token > token)
+    })
+}
+
+/// Guards against a replaced process that exits during a scheduled call: the lease would not pass to its successor, but
+/// expire and move to any worker.
+#[test]
+fn holder_replaced_during_a_call_ends_it_and_passes_its_lease_to_its_successor() {
+    let mut fleet = FleetUnderTest::start_with_long_calls();
+    let (holder, token, calls) = begin_call(&mut fleet);
+    fleet.rig.replace(&holder).unwrap();
+    assert_eq!(first_call_after(&fleet, token).holder, holder);
+    // The call in flight was carried out, and its outcome is known.
+    assert_eq!(fleet.accepted_calls("report")[calls].token, token);
+    assert!(!fleet.log(&holder).contains("scheduled_call_failed task=report"), "{}", fleet.log(&holder));
+    fleet.wait_all_tasks(3);
+    fleet.assert_no_violations();
+}
+
+/// Guards against a shutdown that cuts a scheduled call off, and whose lease is free only when it expires.
+#[test]
+fn holder_terminated_during_a_call_ends_it_and_releases_its_lease() {
+    let mut fleet = FleetUnderTest::start_with_long_calls();
+    let (holder, token, calls) = begin_call(&mut fleet);
+    fleet.rig.terminate(&holder).unwrap();
+    assert_ne!(first_call_after(&fleet, token).holder, holder);
+    assert_eq!(fleet.accepted_calls("report")[calls].token, token);
+    assert!(fleet.log(&holder).contains("lease_released task=report"), "{}", fleet.log(&holder));
+    fleet.wait_all_tasks(3);
+    fleet.assert_no_violations();
+}
+
 #[test]
 fn drained_or_terminated_holder_releases_its_leases() {
     let mut fleet = FleetUnderTest::start();
