Count the longest deadline as 3 s at most before a replaced process is stopped

Change: the stop is expected after the longest deadline, 3 s at most, and 0.7 s, counted from the turn before the one that read SIGTERM. What is pending 0.1 s before it is answered as before.

--- a/src/net/lifecycle/hot_restart/exit.rs
+++ b/src/net/lifecycle/hot_restart/exit.rs
@@ -6,9 +6,9 @@
 use crate::net::io::timer_wheel::Timer;
 use crate::net::Worker;
 
-/// Lower bound of the longest deadline of all classes, from which the time of SIGKILL is derived (seconds).
-const MIN_LONGEST_DEADLINE_S: f64 = 3.0;
-/// SIGKILL follows SIGTERM after the longest deadline of all classes plus this time (seconds).
+/// The longest deadline of all classes counts at most this much towards the time of SIGKILL (seconds).
+const MAX_COUNTED_DEADLINE_S: f64 = 3.0;
+/// SIGKILL follows SIGTERM after the longest deadline of all classes, as far as it counts, plus this time (seconds).
 const KILL_AFTER_DEADLINE_S: f64 = 0.7;
 /// The process exits this long before SIGKILL (seconds).
 const EXIT_MARGIN_S: f64 = 0.1;
@@ -17,11 +17,12 @@
     /// Makes the process exit once no response is pending, and in any case before it is killed.
     pub(super) fn exit_when_idle(&mut self, now: f64) {
         let deadlines = self.configuration.settings.classes.iter().map(|c| c.deadline_s);
-        let longest_deadline_s = deadlines.fold(MIN_LONGEST_DEADLINE_S, f64::max);
-        // A shutdown that was in progress when the listeners were handed off keeps its own stop time.
+        let longest_deadline_s = deadlines.fold(0.0, f64::max).min(MAX_COUNTED_DEADLINE_S);
         let kill_at = match &self.shutdown {
+            // A shutdown that was in progress when the listeners were handed off keeps its own stop time.
             Some(shutdown) => shutdown.timeline.kill_at,
-            None => now + longest_deadline_s + KILL_AFTER_DEADLINE_S,
+            // The notice may have arrived at any time since the previous turn began.
+            None => self.loop_state.previous_turn_began + longest_deadline_s + KILL_AFTER_DEADLINE_S,
         };
         let exit_by = kill_at - EXIT_MARGIN_S;
         if let Some(hot_restart) = &mut self.hot_restart {
--- a/tests/crossings/shutdown.rs
+++ b/tests/crossings/shutdown.rs
@@ -269,3 +269,46 @@
     assert!(predecessor.exits_successfully());
     assert_eq!(successor.check_health(), 200);
 }
+
+/// The time of a log line, in seconds within its day.
+fn time_of_day_s(line: &str) -> f64 {
+    let time = &line[11..26];
+    let part = |range: std::ops::Range<usize>| time[range].parse::<f64>().unwrap();
+    part(0..2) * 3600.0 + part(3..5) * 60.0 + part(6..15)
+}
+
+/// Guards against a predecessor that is stopped before it has answered its runs, because it expects SIGKILL too late: the
+/// longest deadline counts as 3 s at most. A run that ends 0.4 s before the stop is still served.
+#[test]
+fn predecessor_answers_its_runs_before_the_stop_that_follows_the_counted_deadline() {
+    for (deadline_s, stop_s) in [(1.0, 1.7), (8.0, 3.7)] {
+        let shared = SharedListener::bind();
+        let with_deadline = |c: &mut Value| {
+            for class in 0..2 {
+                c["settings"]["profiles"][class]["deadlineS"] = json!(deadline_s);
+            }
+        };
+        let mut predecessor = WORKER.start_on(&shared, with_deadline);
+        let mut executor = predecessor.accept_link();
+        predecessor.wait_ready();
+        let order = |key| RequestBuilder::new("order").key(key);
+        let (mut ending, job) = start_run(&predecessor, &mut executor, &order("k-ending"));
+        let (mut endless, _) = start_run(&predecessor, &mut executor, &order("k-endless"));
+        let successor = WORKER.start_on(&shared, with_deadline);
+        let _successor_executor = successor.accept_link();
+        successor.wait_ready();
+        predecessor.terminate();
+        let noticed = time_of_day_s(&predecessor.wait_log("exit_pending"));
+        sleep_past(Duration::from_secs_f64(stop_s - 0.4));
+        executor.send_exit(&job, "PASS", "placed");
+        assert_eq!(ending.read_response().body, b"placed");
+        assert_eq!(endless.read_response().status, 500);
+        let ended = time_of_day_s(&predecessor.wait_log("shutdown_complete"));
+        assert!(predecessor.exits_successfully());
+        let took_s = (ended - noticed).rem_euclid(86_400.0);
+        assert!(
+            took_s < stop_s,
+            "the process ended {took_s} s after the notice, and is stopped after {stop_s} s"
+        );
+    }
+}
