Send the reply to a downstream call once, whatever the executor's link does

Cause: a reply that may have been lost with a link was sent again later. RETURN names no call ("the reply to the call that the run waits for"), and "a single request may require several calls in succession" (WIRE): a run that has received the reply and waits at its next call takes the resent one for the reply to that. With the link down, the resent reply was queued, and was the first command on the next link, before the notice of the second call could be read.

Change: a reply is never sent twice. Where the class allows it the call is skipped by its number, as before; otherwise the run goes on if it has the reply, and is ended at its deadline if it hasn't.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -4,7 +4,6 @@
 use super::idempotency::{IdempotencyKey, IdempotencyTable};
 use super::in_flight::{InFlight, InFlightTable, LastCommand, PendingCall, SentCommand};
 use super::metrics::Metrics;
-use super::unconfirmed_replies::UnconfirmedReplies;
 use super::{Command, DispatchEvent, Input, ResourceUsage, Response, Ticket};
 use crate::admission::Controller;
 use crate::fleet::overload::client::LoadSample;
@@ -39,8 +38,6 @@
     last_sweep_at: f64,
     /// Settings of the classes, by index.
     pub(super) classes: Vec<Class>,
-    /// Replies that may have been lost with a connection to a backend.
-    pub(super) unconfirmed_replies: UnconfirmedReplies,
     /// Requests that have not started and whose client no longer waits. Released once the controller has handled their
     /// [`Event::CallerDisconnected`].
     pub(super) abandoned: Vec<RequestId>,
@@ -82,7 +79,6 @@
             last_sweep_at: started_at,
             metrics: Metrics::new(classes.len()),
             classes,
-            unconfirmed_replies: UnconfirmedReplies::default(),
             abandoned: Vec::new(),
             run_memory_factor,
             marks_retries,
@@ -159,7 +155,6 @@
             self.run_controller(&mut effects);
             self.release_abandoned();
         }
-        self.resend_unconfirmed_replies(&mut effects);
         if now - self.last_sweep_at >= SWEEP_INTERVAL_S {
             self.last_sweep_at = now;
             self.keys.remove_expired(now);
@@ -264,7 +259,7 @@
         in_flight.calling = false;
         if let (Outcome::Ok, Some(reply)) = (outcome, reply) {
             let sequence = in_flight.pending_call.take().map_or(0, |call| call.sequence);
-            let command = LastCommand::Resume { reply: reply.clone(), sequence };
+            let command = LastCommand::Resume { sequence };
             in_flight.last_command = Some(SentCommand { at: effects.now, command });
             effects.commands.push(Command::Resume { name, reply });
         }
--- a/src/dispatch/in_flight.rs
+++ b/src/dispatch/in_flight.rs
@@ -14,8 +14,6 @@
     Run,
     /// Resume the run with the reply to its downstream call.
     Resume {
-        /// Reply to the call.
-        reply: Rc<[u8]>,
         /// Sequence number of the call within the run.
         sequence: u64,
     },
@@ -122,14 +120,6 @@
         self.last_command = Some(SentCommand { at: now, command: LastCommand::SkipCall { sequence } });
         Command::SkipCall { name: self.request.name.clone(), sequence }
     }
-
-    /// Returns the command to resend its last reply; `None` if the run has made progress since.
-    pub(super) fn resend_reply(&mut self, now: f64) -> Option<Command> {
-        let sent = self.last_command.as_mut()?;
-        let LastCommand::Resume { reply, .. } = &sent.command else { return None };
-        sent.at = now;
-        Some(Command::Resume { name: self.request.name.clone(), reply: reply.clone() })
-    }
 }
 
 /// All requests in flight.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -22,7 +22,6 @@
 mod resource_usage;
 #[cfg(test)]
 mod tests;
-mod unconfirmed_replies;
 
 pub use dispatcher::Dispatcher;
 pub use messages::{Command, DispatchEvent, Input, Principal, Request, Response, TenantError, Ticket};
--- a/tests/http/executor_link.rs
+++ b/tests/http/executor_link.rs
@@ -3,7 +3,7 @@
 use crate::WORKER;
 use serde_json::json;
 use std::time::{Duration, Instant};
-use test_support::{Client, Executor, RequestBuilder, TIMEOUT};
+use test_support::{to_base64, Client, Executor, RequestBuilder, WorkerUnderTest, TIMEOUT};
 
 #[test]
 fn lost_executor_link_resumes_without_running_anything_twice() {
@@ -83,3 +83,46 @@
     executor.send_exit(&exec["job"], "PASS", "new");
     assert_eq!(client.read_response().body, b"new");
 }
+
+/// Accepts the worker's next link as an executor that goes on after this notice.
+fn accept_next_link(worker: &WorkerUnderTest, last_notice: u64) -> Executor {
+    let mut executor = Executor::accept(&worker.executor);
+    assert_eq!(executor.expect_command("JOIN")["n"], last_notice);
+    executor.send(&json!({"type": "WELCOME", "state": "LOADED", "took": 3_600_100.0}));
+    executor.last_notice = last_notice;
+    executor
+}
+
+/// Guards against a run whose second call gets the reply to its first, because that reply is sent again after a broken link:
+/// here it was received, and the run reaches its second call while the link is broken a second time.
+#[test]
+fn second_call_of_a_run_does_not_get_the_reply_to_its_first_after_two_broken_links() {
+    // The latency objective of an order is 4 s, of which 0.4 passed before a reply was resent.
+    let worker = WORKER.start();
+    let mut executor = worker.accept_link();
+    let mut client = Client::connect(worker.http);
+    client.send(&RequestBuilder::new("order").key("k1"));
+    let exec = executor.expect_command("EXEC");
+    let callout = json!({"type": "CALLOUT", "job": exec["job"], "data": ""});
+    executor.send_notice(callout.clone());
+    let mut records = worker.records.accept();
+    records.read_message();
+    records.write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nfirst");
+    assert_eq!(executor.expect_command("RETURN")["data"], to_base64("first"));
+    drop(executor);
+    // The fence of this link is answered, so that the worker knows of the reply that may be lost.
+    let mut executor = accept_next_link(&worker, 1);
+    executor.expect_no_command(&worker);
+    let last_notice = executor.last_notice;
+    std::thread::sleep(Duration::from_millis(1500));
+    drop(executor);
+    std::thread::sleep(Duration::from_millis(300));
+    let mut executor = accept_next_link(&worker, last_notice);
+    executor.send_notice(callout);
+    let mut records = worker.records.accept();
+    records.read_message();
+    records.write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond");
+    assert_eq!(executor.expect_command("RETURN")["data"], to_base64("second"));
+    executor.send_exit(&exec["job"], "PASS", "placed");
+    assert_eq!(client.read_response().body, b"placed");
+}
