Probe with any class during a run fault if no class is idempotent

What callers saw: a worker whose classes are all keyed or unsafe rejected every request once its runs had failed, however well its executor was.

Cause: while runs fail or stall, only an idempotent request is kept as the probe that can end the fault (reject_queued_during_run_fault). Without an idempotent class there was none.

Change: without an idempotent class a request of any class may be the probe, one in half a second.

--- a/src/admission/controller/start.rs
+++ b/src/admission/controller/start.rs
@@ -3,7 +3,7 @@
 use super::Controller;
 use crate::admission::request::{Request, RequestState};
 use crate::admission::run_slots::Startable;
-use crate::interface::{Action, RequestId};
+use crate::interface::{Action, Class, RequestId};
 
 impl Controller {
     /// Fills free slots, the oldest request of the highest non-empty tier first. Requests that can't end in time are
@@ -68,18 +68,21 @@
             && self.memory.has_room_to_start(request, self.memory_kb())
     }
 
-    /// While runs fail or stall, rejects queued requests, which other workers may serve; one idempotent request at a
-    /// time stays as a probe. If the fleet is full and runs still end, all idempotent requests stay, since other
-    /// workers would reject them too and some of them may succeed here.
+    /// While runs fail or stall, rejects queued requests, which other workers may serve; one request at a time stays as a
+    /// probe. Probes are idempotent, since they may fail, unless no class is: a worker without probes would never show
+    /// that it has recovered. If the fleet is full and runs still end, all idempotent requests stay, since other workers
+    /// would reject them too and some of them may succeed here.
     pub(super) fn reject_queued_during_run_fault(&mut self, out: &mut Vec<Action>) {
         if !self.health.has_run_fault() {
             return;
         }
         let keeps_idempotent = self.is_fleet_full() && self.health.is_completing_runs();
+        let has_idempotent_class = self.settings.classes.iter().any(Class::is_idempotent);
         let queued: Vec<RequestId> = self.requests.queued().collect();
         for id in queued {
-            let may_keep = keeps_idempotent || self.health.is_probe_due(self.now);
-            if may_keep && self.class_of(id).is_idempotent() {
+            let is_idempotent = self.class_of(id).is_idempotent();
+            let may_probe = self.health.is_probe_due(self.now) && (is_idempotent || !has_idempotent_class);
+            if may_probe || keeps_idempotent && is_idempotent {
                 self.health.probe_admitted(self.now);
             } else {
                 self.reject(id, out);
--- a/tests/failures/health.rs
+++ b/tests/failures/health.rs
@@ -1,7 +1,7 @@
 //! Failing runs, stalled runs and late reads.
 
 use crate::harness::{rejected, settings, Harness};
-use port_worker::{Action, Arrival, Event, Gauges, Outcome, RequestId, Settings, Signal};
+use port_worker::{Action, Arrival, Event, Gauges, Idempotency, Outcome, RequestId, Settings, Signal};
 
 /// Guards against a worker that rejects nothing since its runs fail quickly and so keep its queues empty.
 #[test]
@@ -54,6 +54,41 @@
     assert!(!worker.advance(1.5, 0.1).contains(&Action::Health(true)));
 }
 
+/// Guards against a worker without idempotent classes that rejects everything once its runs have failed, so that it never
+/// shows that it has recovered.
+#[test]
+fn worker_without_idempotent_classes_is_probed_and_recovers() {
+    for idempotency in [Idempotency::Keyed, Idempotency::NotIdempotent] {
+        let mut settings = settings();
+        settings.classes.iter_mut().for_each(|class| class.idempotency = idempotency);
+        let mut worker = Harness::new(settings);
+        let mut actions = Vec::new();
+        for id in 1..=8 {
+            worker.now += 0.02;
+            worker.arrive(id, 0);
+            actions.extend(worker.end_run(id, Outcome::Error));
+        }
+        assert!(actions.contains(&Action::Health(false)));
+        assert!(worker.advance(3.0, 0.1).contains(&Action::Health(true)), "not relisted");
+        // One request at a time is admitted as a probe.
+        let admitted: Vec<u64> = (20..30).filter(|&id| !rejected(&worker.arrive(id, 1), id)).collect();
+        assert_eq!(admitted, vec![20], "{idempotency:?}");
+        worker.now += 0.1;
+        worker.end_run(20, Outcome::Ok);
+        let recovers = (40..80).any(|id| {
+            worker.now += 0.5;
+            !rejected(&worker.arrive(id, 0), id) && {
+                worker.now += 0.1;
+                worker.end_run(id, Outcome::Ok);
+                // A healthy worker admits a second request beside the first.
+                let both = [id + 100, id + 200].map(|next| !rejected(&worker.arrive(next, 0), next));
+                both == [true, true]
+            }
+        });
+        assert!(recovers, "{idempotency:?}: not healthy within 20 s of successful probes");
+    }
+}
+
 #[test]
 fn worker_with_stalled_runs_is_delisted() {
     let mut worker = Harness::new(settings());
--- a/tests/http/lifecycle.rs
+++ b/tests/http/lifecycle.rs
@@ -2,8 +2,10 @@
 
 use crate::WORKER;
 use serde_json::json;
-use std::time::Duration;
-use test_support::{to_base64, unique_request_id, unix_ms, Client, Executor, RequestBuilder};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use test_support::{to_base64, unique_request_id, unix_ms, Client, Executor, RequestBuilder, TIMEOUT};
 
 #[test]
 fn health_check_succeeds_only_with_an_executor_and_before_shutdown() {
@@ -140,3 +142,37 @@
     executor.send_exit(&job, "PASS", "x");
     assert_eq!(client.read_response().body, b"x");
 }
+
+/// Guards against a worker whose classes are all keyed and whose runs have failed: it rejected every order from then on.
+#[test]
+fn worker_with_keyed_classes_alone_recovers_from_failed_runs() {
+    let worker = WORKER.start_with(|c| c["settings"]["profiles"][0]["effect"] = json!("keyed"), None);
+    let mut executor = worker.accept_link();
+    let runs_fail = Arc::new(AtomicBool::new(true));
+    let outcome = runs_fail.clone();
+    let running = std::thread::spawn(move || {
+        while let Some(exec) = executor.read_command_or_end() {
+            let state = if outcome.load(Ordering::Relaxed) { "FAIL" } else { "PASS" };
+            executor.send_exit(&exec["job"], state, "");
+        }
+    });
+    let mut client = Client::connect(worker.http);
+    let mut send_order = || client.request(&RequestBuilder::new("order").key(&unique_request_id())).status;
+    while worker.check_health() == 200 {
+        assert_eq!(send_order(), 500);
+    }
+    runs_fail.store(false, Ordering::Relaxed);
+    let deadline = Instant::now() + TIMEOUT;
+    // The last of ten orders in a row can't be served as probes, of which there is one in half a second.
+    let mut in_a_row = 0;
+    while in_a_row < 10 {
+        assert!(Instant::now() < deadline, "ten orders in a row: not served within {TIMEOUT:?}");
+        in_a_row = if send_order() == 200 { in_a_row + 1 } else { 0 };
+        if in_a_row == 0 {
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+    assert_eq!(worker.check_health(), 200);
+    drop(worker);
+    running.join().unwrap();
+}
