Let a worker hold leases again after a hot restart that failed

What callers saw: a worker whose successor ended after it had taken the state served on, but accepted no lease any more; with no other worker the fleet's tasks weren't carried out.

Cause: the worker left the fleet when it had sent its state, whether or not the successor confirmed, and nothing ended the leave when it took the listeners back. Its goodbye left a session that was marked as closing, was kept alive by its heartbeats while a lease was to be passed on, and is granted nothing.

Change: a worker leaves when its successor has confirmed, and rejoins when it owns the listeners again. Heartbeats don't extend a session whose worker has said goodbye, so that it is closed and the worker opens a new one.

Evidence: worker_that_takes_its_listeners_back_carries_out_tasks_again failed on (no call within 40 s) and passes now; with the worker's part alone its case after the confirmation failed still. The coordinators' tests pass.

--- a/fleet-coordinator/src/leader_state/renewals.rs
+++ b/fleet-coordinator/src/leader_state/renewals.rs
@@ -35,7 +35,11 @@
             return self.send(link, ServerMessage::SessionExpired);
         };
         let Some(live) = self.sessions.get_mut(&session) else { return };
-        live.expires_at = now + SESSION_TTL_S;
+        // A session whose worker has said goodbye stays expired, so that it is closed once it holds no lease: a worker that
+        // goes on needs a new one.
+        if live.close_proposed_at.is_none() {
+            live.expires_at = now + SESSION_TTL_S;
+        }
         if let Some(counters) = heartbeat.counters {
             live.counters = counters.into_iter().take(MAX_COUNTERS).collect();
             live.counters_at = now;
--- a/src/fleet/member/leaving.rs
+++ b/src/fleet/member/leaving.rs
@@ -70,6 +70,14 @@
         self.send_goodbye_when_idle();
     }
 
+    /// Ends a leave: the worker serves again, because the process that replaced it has ended. If its session was closed, the
+    /// next heartbeat opens a new one.
+    pub fn rejoin(&mut self, now: f64) {
+        if self.leave_state.take().is_some() {
+            self.session.make_heartbeat_due(now);
+        }
+    }
+
     /// Closes the session of a leaving worker once no scheduled call is in flight.
     pub(super) fn send_goodbye_when_idle(&mut self) {
         let is_calling = self.is_calling();
--- a/src/fleet/member/tests.rs
+++ b/src/fleet/member/tests.rs
@@ -158,3 +158,16 @@
     assert!(sent(&mut member).contains(&ClientMessage::Goodbye));
     assert!(member.has_left());
 }
+
+/// Guards against a worker that accepts no leases any more after a hot restart that failed.
+#[test]
+fn a_worker_that_rejoins_accepts_leases_again() {
+    let mut member = member_with_lease();
+    member.leave(true);
+    member.take_actions();
+    member.rejoin(2.0);
+    assert!(!member.has_left());
+    member.receive(2.1, &ServerMessage::LeaseGranted { lease: lease(4) });
+    assert_eq!(member.leases.token("t"), Some(4));
+    assert!(!sent(&mut member).iter().any(|message| matches!(message, ClientMessage::ReleaseLease { .. })));
+}
--- a/src/net/lifecycle/fleet.rs
+++ b/src/net/lifecycle/fleet.rs
@@ -4,6 +4,7 @@
 use crate::dispatch::Dispatcher;
 use crate::fleet::frame::Counters;
 use crate::fleet::overload::client::OverloadDirective;
+use crate::hot_restart::ListenerOwnership;
 use crate::net::upstreams::coordinator_link::CoordinatorLink;
 use crate::net::Worker;
 use std::fmt::Write;
@@ -28,13 +29,19 @@
     /// due.
     fn update_membership(&mut self, now: f64, fleet_now: f64) {
         let Some(coordinators) = &mut self.upstreams.coordinators else { return };
-        let replaced = self.hot_restart.as_ref().is_some_and(|r| r.ownership.has_handed_off());
+        let ownership = self.hot_restart.as_ref().map(|r| &r.ownership);
+        let replaced = ownership.is_some_and(ListenerOwnership::is_released);
         if replaced || self.shutdown.is_some() {
             coordinators.member.leave(replaced);
+        } else {
+            // A successor that has ended gave the listeners back.
+            coordinators.member.rejoin(fleet_now);
         }
-        // A new process that does not own the listeners yet must not take leases while the old one holds its own.
-        let owns_listeners = self.hot_restart.as_ref().is_none_or(|r| r.ownership.is_owner());
-        let serves = owns_listeners && self.dispatcher.is_some();
+        // A new process that does not own the listeners yet must not take leases while the old one holds its own. Until
+        // the new one has confirmed the takeover, the old one may have to take everything back.
+        let holds_listeners =
+            ownership.is_none_or(|o| o.is_owner() || o.has_handed_off() && !o.is_released());
+        let serves = holds_listeners && self.dispatcher.is_some();
         coordinators.member.set_accepting_tasks(fleet_now, serves && !self.context.availability.draining);
         if coordinators.member.load_report_due(fleet_now) {
             let sample = self.dispatcher.as_mut().and_then(|dispatcher| dispatcher.fleet_load_sample(now));
--- a/testbed/tests/fleet/common.rs
+++ b/testbed/tests/fleet/common.rs
@@ -2,7 +2,10 @@
 
 use fleet_coordinator::client::{query_coordinator, query_leader, QueryOutcome};
 use port_worker::fleet::frame::{OperatorQuery, ServerMessage};
+use port_worker::hot_restart::frame::{Frame, VERSION};
 use serde_json::Value;
+use std::io::{Read, Write};
+use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Once;
@@ -48,6 +51,23 @@
     Programs::in_folder(&target).unwrap()
 }
 
+/// Reads frames of the hot restart link up to this one. Descriptors that come with them are closed.
+fn read_frames_until(stream: &mut UnixStream, expected: &Frame) {
+    let mut buffer = Vec::new();
+    loop {
+        while let Some((frame, length)) = Frame::decode(&buffer).unwrap() {
+            buffer.drain(..length);
+            if frame == *expected {
+                return;
+            }
+        }
+        let mut chunk = [0; 4096];
+        let n = stream.read(&mut chunk).unwrap();
+        assert!(n > 0, "the link was closed before {expected:?} was received");
+        buffer.extend_from_slice(&chunk[..n]);
+    }
+}
+
 impl FleetUnderTest {
     /// Starts three coordinators and six workers, and waits until both tasks have been carried out.
     pub fn start() -> FleetUnderTest {
@@ -247,6 +267,39 @@
         })
     }
 
+    /// Takes over from a worker as its successor, up to the confirmation or with it, and ends right after that.
+    pub fn fail_takeover(&self, name: &str, is_confirmed: bool) {
+        let socket = self.folder.join(format!("{name}-temp/honeypost-handover.sock"));
+        let mut successor = UnixStream::connect(socket).unwrap();
+        successor.set_read_timeout(Some(TIMEOUT)).unwrap();
+        successor.write_all(&self.hello_of(name).encode()).unwrap();
+        read_frames_until(&mut successor, &Frame::Welcome);
+        successor.write_all(&Frame::RequestListeners.encode()).unwrap();
+        read_frames_until(&mut successor, &Frame::StateComplete);
+        if is_confirmed {
+            successor.write_all(&Frame::TakeoverConfirmed.encode()).unwrap();
+            self.wait("the end of the hand-off", |_| {
+                self.log(name).contains("listeners_handed_off").then_some(())
+            });
+        }
+    }
+
+    /// The first frame of a successor that is compatible with this worker.
+    fn hello_of(&self, name: &str) -> Frame {
+        let text = std::fs::read_to_string(self.folder.join(format!("{name}.json"))).unwrap();
+        let config: Value = serde_json::from_str(&text).unwrap();
+        let names = |key: &str| {
+            let list = config["settings"][key].as_array().cloned().unwrap_or_default();
+            list.iter().map(|entry| entry["name"].as_str().unwrap().to_owned()).collect()
+        };
+        Frame::Hello {
+            version: VERSION,
+            name: config["name"].as_str().unwrap().to_owned(),
+            classes: names("profiles"),
+            tenants: names("tenants"),
+        }
+    }
+
     /// Asserts that every worker passes its health check, whatever state its coordinators are in.
     pub fn assert_all_serve(&self) {
         for name in self.rig.workers() {
--- a/testbed/tests/fleet/leases.rs
+++ b/testbed/tests/fleet/leases.rs
@@ -149,6 +149,27 @@
     fleet.assert_no_violations();
 }
 
+/// Guards against a worker that accepts no leases any more after a hot restart that failed, before or after its successor
+/// confirmed the takeover: with the other worker gone, nobody would carry the task out.
+#[test]
+fn worker_that_takes_its_listeners_back_carries_out_tasks_again() {
+    let mut fleet = FleetUnderTest::start_with_two_workers();
+    for is_confirmed in [false, true] {
+        let holder = fleet.lease_holder("report");
+        fleet.fail_takeover(&holder, is_confirmed);
+        let other = fleet.rig.workers().into_iter().find(|name| *name != holder).unwrap();
+        fleet.rig.kill(&other).unwrap();
+        fleet.wait("calls of the worker that is left", |_| {
+            let last = fleet.accepted_calls("report").pop()?;
+            let holds = fleet.metric(&holder, "fleet.lease.report.token")? >= last.token as f64;
+            (holds && last.holder == holder).then_some(())
+        });
+        fleet.wait_task_calls("report", 6);
+        fleet.rig.restart(&other).unwrap();
+    }
+    fleet.assert_no_violations();
+}
+
 #[test]
 fn drained_or_terminated_holder_releases_its_leases() {
     let mut fleet = FleetUnderTest::start();
