Name the two sides of a hot restart after what they do

successor.rs held the predecessor's side and predecessor.rs the successor's, each named after its peer. They are hand_off.rs and takeover.rs now; nothing else in them changed.

--- a/src/net/lifecycle/hot_restart/mod.rs
+++ b/src/net/lifecycle/hot_restart/mod.rs
@@ -5,13 +5,13 @@
 mod effects;
 mod exit;
 mod frontends;
+mod hand_off;
 mod inherited_listener;
 mod links;
 mod messages;
 mod peer_link;
-mod predecessor;
 mod staged_state;
-mod successor;
+mod takeover;
 
 pub(in crate::net) use inherited_listener::inherited_listener;
 pub use inherited_listener::InheritedListenerError;
