--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -23,8 +23,8 @@
 
 /// The dispatcher of one worker. Owns the admission controller, the requests in flight and the idempotency keys.
 ///
-/// Each [`Input::Arrived`] or [`Input::ArrivedWithoutTenant`] leads to exactly one [`Command::Respond`], unless the client disconnects first or the
-/// request is handed off to a successor.
+/// Each [`Input::Arrived`] or [`Input::ArrivedWithoutTenant`] leads to exactly one [`Command::Respond`], unless the client
+/// disconnects first or the request is handed off to a successor.
 pub struct Dispatcher {
     pub(super) controller: Controller,
     pub(super) in_flight: InFlightTable,
--- a/src/fleet/member/tests.rs
+++ b/src/fleet/member/tests.rs
@@ -31,18 +31,16 @@
     }
 }
 
+fn welcome() -> ServerMessage {
+    ServerMessage::Welcome { session: 5, session_ttl_ms: 3000, heartbeat_interval_ms: 500, version: VERSION }
+}
+
 /// A member whose session was established at 1 s and which holds the task's lease with token 3.
 fn member_with_lease() -> FleetMember {
     let mut member = FleetMember::new(0.0, config(), Incarnation(1), 1);
     member.tick(1.0, Counters::new);
     member.connected();
-    let welcome = ServerMessage::Welcome {
-        session: 5,
-        session_ttl_ms: 3000,
-        heartbeat_interval_ms: 500,
-        version: VERSION,
-    };
-    member.receive(1.0, &welcome);
+    member.receive(1.0, &welcome());
     member.receive(1.0, &ServerMessage::LeaseGranted { lease: lease(3) });
     member.take_actions();
     member
@@ -148,13 +146,7 @@
     member.tick(4.0, Counters::new);
     member.connected();
     member.take_actions();
-    let welcome = ServerMessage::Welcome {
-        session: 5,
-        session_ttl_ms: 3000,
-        heartbeat_interval_ms: 500,
-        version: VERSION,
-    };
-    member.receive(4.0, &welcome);
+    member.receive(4.0, &welcome());
     assert!(sent(&mut member).contains(&ClientMessage::Goodbye));
     assert!(member.has_left());
 }
--- a/tests/ajp/directory_outage.rs
+++ b/tests/ajp/directory_outage.rs
@@ -78,11 +78,7 @@
 #[test]
 fn retry_of_an_order_that_ran_over_http_fails_while_the_directory_is_down() {
     let mut w = WorkerWithDirectory::start(DIRECTORY);
-    let mut router = Client::connect(w.worker.http);
-    router.send(&RequestBuilder::new("order").key("k1"));
-    let exec = w.executor.expect_command("EXEC");
-    w.executor.send_exit(&exec["job"], "PASS", "placed");
-    assert_eq!(router.read_response().body, b"placed");
+    w.place_order_over_http("k1");
     w.stop_directory();
     assert_eq!(response_to(w.send_unanswered(&retry_of("portal", "k1"), b"hello")).status, 502);
     w.executor.expect_no_command(&w.worker);
--- a/tests/ajp/portals.rs
+++ b/tests/ajp/portals.rs
@@ -5,7 +5,7 @@
 use ldap3_proto::proto::LdapResultCode;
 use port_worker::net::upstreams::ajp_codec::Forward;
 use std::net::TcpListener;
-use test_support::{add_second_tenant, Executor, WorkerUnderTest};
+use test_support::{add_second_tenant, Client, Executor, RequestBuilder, WorkerUnderTest};
 
 /// A worker with two tenants, its executor and its directory.
 pub struct WorkerWithDirectory {
@@ -52,6 +52,15 @@
         portal
     }
 
+    /// Sends an order of tenant `acme` over HTTP, and ends its run with the result "placed".
+    pub fn place_order_over_http(&mut self, key: &str) {
+        let mut router = Client::connect(self.worker.http);
+        router.send(&RequestBuilder::new("order").key(key));
+        let exec = self.executor.expect_command("EXEC");
+        self.executor.send_exit(&exec["job"], "PASS", "placed");
+        assert_eq!(router.read_response().body, b"placed");
+    }
+
     /// The worker's link to the directory. The first call accepts it.
     pub fn ldap(&mut self) -> &mut Ldap {
         self.ldap.get_or_insert_with(|| {
--- a/tests/ajp/tenant_change.rs
+++ b/tests/ajp/tenant_change.rs
@@ -2,9 +2,7 @@
 
 use crate::portals::{order_of, retry_of, WorkerWithDirectory};
 use crate::{Ajp, FRONTEND, WORKER};
-use test_support::{
-    add_second_tenant, reserve_address, unique_request_id, Client, RequestBuilder, SharedListener,
-};
+use test_support::{add_second_tenant, reserve_address, unique_request_id, SharedListener};
 
 /// The directory is asked about every request and has the time to answer.
 const DIRECTORY: &str = "timeout_ms = 10000\ncache_s = 0";
@@ -47,7 +45,7 @@
         let mut second = w.send(&retry_of("portal-2", "k1"), b"two__", second_tenant);
         assert_eq!(second.read_response().0.body, b"placed 2");
     }
-    // A third portal, of a tenant that has used the key, has an order with the body of the other tenant's.
+    // A third portal, of a tenant that has used the key, has another order.
     let mut third = w.send(&retry_of("portal-3", "k1"), b"three", "acme");
     assert_eq!(third.read_response().0.status, 409);
     w.executor.expect_no_command(&w.worker);
@@ -57,11 +55,7 @@
 #[test]
 fn retry_over_ajp_of_another_tenants_order_over_http_fails_without_a_run() {
     let mut w = WorkerWithDirectory::start(DIRECTORY);
-    let mut router = Client::connect(w.worker.http);
-    router.send(&RequestBuilder::new("order").key("k1"));
-    let exec = w.executor.expect_command("EXEC");
-    w.executor.send_exit(&exec["job"], "PASS", "placed");
-    assert_eq!(router.read_response().body, b"placed");
+    w.place_order_over_http("k1");
     let mut retry = w.send(&retry_of("portal", "k1"), b"hello", "bolt");
     assert_eq!(retry.read_response().0.status, 502);
     let mut same_tenant = w.send(&retry_of("portal", "k1"), b"hello", "acme");
--- a/tests/failures/health.rs
+++ b/tests/failures/health.rs
@@ -3,10 +3,8 @@
 use crate::harness::{rejected, settings, Harness};
 use port_worker::{Action, Arrival, Event, Gauges, Idempotency, Outcome, RequestId, Settings, Signal};
 
-/// Guards against a worker that rejects nothing since its runs fail quickly and so keep its queues empty.
-#[test]
-fn a_worker_whose_runs_fail_is_delisted_and_rejects_work() {
-    let mut worker = Harness::new(settings());
+/// Runs eight requests that fail, after which the worker is unhealthy.
+fn fail_runs_until_unhealthy(worker: &mut Harness) {
     let mut actions = Vec::new();
     for id in 1..=8 {
         worker.now += 0.02;
@@ -14,10 +12,18 @@
         actions.extend(worker.end_run(id, Outcome::Error));
     }
     assert!(actions.contains(&Action::Health(false)));
+}
+
+/// Guards against a worker that rejects nothing since its runs fail quickly and so keep its queues empty.
+#[test]
+fn a_worker_whose_runs_fail_is_delisted_and_rejects_work() {
+    let mut worker = Harness::new(settings());
+    fail_runs_until_unhealthy(&mut worker);
     assert!(rejected(&worker.arrive(20, 1), 20), "a keyed request is admitted by an unhealthy worker");
     let probes = (30..60).filter(|&id| !rejected(&worker.arrive(id, 0), id)).count();
     assert!(probes <= 1, "{probes} requests are admitted as probes");
     // Successful probes make it healthy again.
+    let mut actions = Vec::new();
     for id in 100..140 {
         worker.now += 0.5;
         if !rejected(&worker.arrive(id, 0), id) {
@@ -36,13 +42,7 @@
 #[test]
 fn unhealthy_worker_without_arrivals_is_relisted_after_a_pause() {
     let mut worker = Harness::new(settings());
-    let mut actions = Vec::new();
-    for id in 1..=8 {
-        worker.now += 0.02;
-        worker.arrive(id, 0);
-        actions.extend(worker.end_run(id, Outcome::Error));
-    }
-    assert!(actions.contains(&Action::Health(false)));
+    fail_runs_until_unhealthy(&mut worker);
     assert!(!worker.advance(1.5, 0.1).contains(&Action::Health(true)), "relisted too soon");
     assert!(worker.advance(1.0, 0.1).contains(&Action::Health(true)));
     // It is listed but still unhealthy: one request is admitted as a probe, the rest is rejected, and a failure delists
@@ -62,13 +62,7 @@
         let mut settings = settings();
         settings.classes.iter_mut().for_each(|class| class.idempotency = idempotency);
         let mut worker = Harness::new(settings);
-        let mut actions = Vec::new();
-        for id in 1..=8 {
-            worker.now += 0.02;
-            worker.arrive(id, 0);
-            actions.extend(worker.end_run(id, Outcome::Error));
-        }
-        assert!(actions.contains(&Action::Health(false)));
+        fail_runs_until_unhealthy(&mut worker);
         assert!(worker.advance(3.0, 0.1).contains(&Action::Health(true)), "not relisted");
         // One request at a time is admitted as a probe.
         let admitted: Vec<u64> = (20..30).filter(|&id| !rejected(&worker.arrive(id, 1), id)).collect();
