--- a/review/standins-2/case8.rs
+++ b/review/standins-2/case8.rs
@@ -87,7 +87,8 @@
                             foreign.fetch_add(1, Ordering::Relaxed);
                         }
                     }
-                    sleep_ms(20);
+                    // Random, so that the routers do not run in step.
+                    sleep_ms(random() % 40);
                 }
             })
         })
