Look up every attempt of a key before a response says that its order has not run

Cause: whether a request may be rejected was decided by the question whether it may run: is this attempt a retry of a request that is known? A first attempt that its marked retry had overtaken counted as an order of its own. The same on other paths: directory closed, portal unknown, the request's time limit, exit of the process, and a queued retry whose first attempt ran under another tenant.

Change: all responses pass one check at the time they are sent (src/dispatch/rejections.rs): one which states that the request has not run becomes a failure if a run has started of any attempt that may belong to the same request, earlier or later. An entry remembers whether its holder may be a retry, and reports it to a successor in an additional field. Which attempts run, and who gets which result, is decided as before.

--- a/src/dispatch/actions.rs
+++ b/src/dispatch/actions.rs
@@ -64,8 +64,8 @@
 
     fn retain_key(&mut self, id: RequestId, expires_at: f64) {
         let Some(in_flight) = self.in_flight.get(id) else { return };
-        if let Some(RequestKey { key, fingerprints }) = &in_flight.key {
-            self.keys.retain(key, id, *fingerprints, expires_at);
+        if let Some(RequestKey { key, identity }) = &in_flight.key {
+            self.keys.retain(key, id, *identity, expires_at);
         }
     }
 
--- a/src/dispatch/arrival.rs
+++ b/src/dispatch/arrival.rs
@@ -1,7 +1,7 @@
 //! Arrival of requests: a request is added to the table and reported to the controller, or responded to immediately.
 
 use super::effects::Effects;
-use super::idempotency::{IdempotencyKey, KeyMatch, KeyedAttempt};
+use super::idempotency::{AttemptIdentity, IdempotencyKey, KeyMatch, KeyedAttempt};
 use super::in_flight::{InFlight, RequestKey};
 use super::{Command, Dispatcher, Request, Response, TenantError};
 use crate::interface::{Arrival, Event};
@@ -38,7 +38,7 @@
     /// Returns the key under which the request is known.
     fn request_key(&self) -> RequestKey {
         let key = self.key_match.request().map_or(&self.attempt.key, |request| &request.key);
-        RequestKey { key: key.clone(), fingerprints: self.attempt.fingerprints }
+        RequestKey { key: key.clone(), identity: self.attempt.identity }
     }
 }
 
@@ -52,7 +52,7 @@
     ) {
         // The executor's messages identify requests by name, so names in flight must be unique.
         if self.is_in_flight(&request.name) || self.running_in_predecessor.contains(&request.name) {
-            return self.respond_without_controller(&request, Response::Conflict, effects);
+            return self.respond_without_controller(&request, None, Response::Conflict, effects);
         }
         let times = ArrivalTimes::of(&request, effects.now);
         let keyed = self.keyed_attempt(&request, tenant_error.is_none(), times.arrived);
@@ -63,7 +63,10 @@
             Some(Response::TenantUndetermined(error))
         });
         match response {
-            Some(response) => self.respond_without_controller(&request, response, effects),
+            Some(response) => {
+                let attempt = keyed.as_ref().map(|keyed| &keyed.attempt);
+                self.respond_without_controller(&request, attempt, response, effects);
+            }
             None => self.add_in_flight(request, keyed.as_ref(), &times, effects),
         }
     }
@@ -78,9 +81,11 @@
         let attempt = KeyedAttempt {
             key: IdempotencyKey { class: request.class, tenant: request.tenant, key },
             tenant_is_known,
-            fingerprints: self.fingerprints(request),
+            identity: AttemptIdentity {
+                fingerprints: self.fingerprints(request),
+                may_be_retry: request.retry || !self.marks_retries,
+            },
             arrived,
-            may_be_retry: request.retry || !self.marks_retries,
         };
         let key_match = self.keys.match_attempt(&attempt);
         Some(MatchedAttempt { attempt, key_match })
@@ -92,7 +97,7 @@
         let is_new = matched.key_match == KeyMatch::New;
         // The key may have run in another process. Admitting the attempt could run it twice, and a rejection would
         // claim that it has not run.
-        if is_new && self.indeterminate_keys.covers(times.arrived, matched.attempt.may_be_retry) {
+        if is_new && self.indeterminate_keys.covers(times.arrived, matched.attempt.identity.may_be_retry) {
             return Some(Response::Failed);
         }
         // The attempt was unread for at least as long as keys are retained after their window, so the entry of an
@@ -149,9 +154,11 @@
     fn respond_without_controller(
         &mut self,
         request: &Request,
+        attempt: Option<&KeyedAttempt>,
         response: Response,
         effects: &mut Effects<'_>,
     ) {
+        let response = self.verified_response(attempt, response);
         self.metrics.record_response(request.class, &response);
         effects.commands.push(Command::Respond(request.ticket, response));
     }
--- a/src/dispatch/completion.rs
+++ b/src/dispatch/completion.rs
@@ -42,6 +42,8 @@
 impl Dispatcher {
     /// Sends the response, unless the request already has one.
     pub(super) fn respond(&mut self, id: RequestId, response: Response, effects: &mut Effects<'_>) {
+        let attempt = self.in_flight.get(id).and_then(InFlight::keyed_attempt);
+        let response = self.verified_response(attempt.as_ref(), response);
         let Some(in_flight) = self.in_flight.mark_responded(id) else { return };
         self.metrics.record_response(in_flight.request.class, &response);
         effects.commands.push(Command::Respond(in_flight.request.ticket, response));
--- a/src/dispatch/idempotency/entry.rs
+++ b/src/dispatch/idempotency/entry.rs
@@ -1,7 +1,7 @@
 //! The table entry of one idempotency key: its current run and the previous one.
 
 use super::key::KeyProgress;
-use super::matching::RequestFingerprints;
+use super::matching::AttemptIdentity;
 use crate::interface::RequestId;
 
 /// The state of one key.
@@ -9,8 +9,8 @@
 pub struct Entry {
     /// The request that runs or has run for this key.
     pub holder: RequestId,
-    /// Fingerprints of the holder's request.
-    pub(super) fingerprints: RequestFingerprints,
+    /// What other attempts are compared with: the holder's fingerprints, and whether it may be a retry.
+    pub(super) identity: AttemptIdentity,
     /// Progress of the holder's run.
     pub progress: KeyProgress,
     /// When its window ends.
@@ -28,15 +28,15 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct RunIdentity {
     pub(super) holder: RequestId,
-    pub(super) fingerprints: RequestFingerprints,
+    pub(super) identity: AttemptIdentity,
 }
 
 impl Entry {
     /// Creates the entry of a key whose run has not ended.
-    pub(super) fn new(holder: RequestId, fingerprints: RequestFingerprints, expires_at: f64) -> Entry {
+    pub(super) fn new(holder: RequestId, identity: AttemptIdentity, expires_at: f64) -> Entry {
         Entry {
             holder,
-            fingerprints,
+            identity,
             progress: KeyProgress::Open,
             expires_at,
             in_other_process: false,
@@ -54,11 +54,11 @@
     /// Returns the run whose window covers an attempt that arrived at `arrived`. A run that is still open covers every
     /// attempt, so that no second run starts beside one that hangs.
     pub(super) fn run_for(&self, arrived: f64) -> Option<RunIdentity> {
-        if let Some(PreviousRun { holder, fingerprints, .. }) = self.previous_for(arrived) {
-            return Some(RunIdentity { holder: *holder, fingerprints: *fingerprints });
+        if let Some(PreviousRun { holder, identity, .. }) = self.previous_for(arrived) {
+            return Some(RunIdentity { holder: *holder, identity: *identity });
         }
         let covers = arrived <= self.expires_at || self.progress == KeyProgress::Open;
-        covers.then_some(RunIdentity { holder: self.holder, fingerprints: self.fingerprints })
+        covers.then_some(RunIdentity { holder: self.holder, identity: self.identity })
     }
 
     /// Returns the previous run if its window covers an attempt that arrived at `arrived`.
@@ -70,7 +70,7 @@
     pub(super) fn replace_previous_run(&mut self) -> Option<PreviousRun> {
         let previous = PreviousRun {
             holder: self.holder,
-            fingerprints: self.fingerprints,
+            identity: self.identity,
             progress: std::mem::replace(&mut self.progress, KeyProgress::Open),
             expires_at: self.expires_at,
             in_other_process: self.in_other_process,
@@ -84,7 +84,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct PreviousRun {
     pub(super) holder: RequestId,
-    pub(super) fingerprints: RequestFingerprints,
+    pub(super) identity: AttemptIdentity,
     pub(super) progress: KeyProgress,
     pub(super) expires_at: f64,
     pub(super) in_other_process: bool,
@@ -95,7 +95,7 @@
     pub(super) fn into_entry(self) -> Entry {
         Entry {
             holder: self.holder,
-            fingerprints: self.fingerprints,
+            identity: self.identity,
             progress: self.progress,
             expires_at: self.expires_at,
             in_other_process: self.in_other_process,
--- a/src/dispatch/idempotency/key.rs
+++ b/src/dispatch/idempotency/key.rs
@@ -1,6 +1,6 @@
 //! Idempotency keys and the progress of their runs.
 
-use super::matching::RequestFingerprints;
+use super::matching::AttemptIdentity;
 use std::rc::Rc;
 
 /// An idempotency key, scoped to its class and to the tenant of the first attempt that carried it.
@@ -40,8 +40,8 @@
 pub struct IdempotencyUpdate {
     /// The key.
     pub key: IdempotencyKey,
-    /// Fingerprints of the request that came with the key.
-    pub fingerprints: RequestFingerprints,
+    /// What attempts with the key are compared with.
+    pub identity: AttemptIdentity,
     /// When its window ends (event loop's clock, seconds).
     pub expires_at: f64,
     /// Progress of its run; `None` if the run certainly never started.
--- a/src/dispatch/idempotency/matching.rs
+++ b/src/dispatch/idempotency/matching.rs
@@ -9,10 +9,13 @@
 //! | the same principal or tenant | the attempt shares its run | conflict |
 //! | another tenant | a retry is ambiguous, a first attempt is new | the attempt is new |
 //!
+//! A response which states that a request has not run needs a wider look-up, since a retry may overtake the first attempt:
+//! `holders_of_same_request` also finds the retries of other tenants that were read before a first attempt.
+//!
 //! Without the second row, an order would run twice after its tenant has changed. Without the difference in its columns,
 //! a tenant could block the requests of others by sending their keys first, or get their results.
 
-use super::entry::{Entry, RunIdentity};
+use super::entry::Entry;
 use super::key::IdempotencyKey;
 use crate::interface::RequestId;
 
@@ -25,6 +28,23 @@
     pub principal: Option<u64>,
 }
 
+/// What tells whether two attempts with the same key may belong to the same request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptIdentity {
+    /// Fingerprints of the request.
+    pub fingerprints: RequestFingerprints,
+    /// Whether it may be a further attempt of a request: `false` only if callers mark retries and it is not marked.
+    pub may_be_retry: bool,
+}
+
+impl AttemptIdentity {
+    /// The identity that is reported with a key whose request is no longer known.
+    pub(super) const UNKNOWN: AttemptIdentity = AttemptIdentity {
+        fingerprints: RequestFingerprints { body: 0, principal: None },
+        may_be_retry: true,
+    };
+}
+
 /// An attempt that carries an idempotency key.
 #[derive(Clone, Debug)]
 pub struct KeyedAttempt {
@@ -32,12 +52,10 @@
     pub key: IdempotencyKey,
     /// Whether the attempt's tenant is known. If it isn't, the tenant in `key` has no meaning.
     pub tenant_is_known: bool,
-    /// Fingerprints of the request.
-    pub fingerprints: RequestFingerprints,
+    /// What it is compared by.
+    pub identity: AttemptIdentity,
     /// When it arrived at the machine (event loop's clock, seconds).
     pub arrived: f64,
-    /// Whether it may be a further attempt of a request: `false` only if callers mark retries and it is not marked.
-    pub may_be_retry: bool,
 }
 
 /// The earlier request whose run an attempt shares.
@@ -85,6 +103,13 @@
     }
 }
 
+/// Which parts of an attempt equal those of a run with the same key.
+struct AttemptComparison {
+    same_principal: bool,
+    same_tenant: bool,
+    same_body: bool,
+}
+
 /// An entry with the key that it belongs to.
 pub(super) struct KeyedEntry<'a> {
     pub(super) key: IdempotencyKey,
@@ -101,20 +126,43 @@
     }
 
     fn compare(&self, candidate: KeyedEntry<'_>) -> KeyMatch {
-        let Some(RunIdentity { holder, fingerprints }) = candidate.entry.run_for(self.arrived) else {
-            return KeyMatch::New;
-        };
-        let same_body = fingerprints.body == self.fingerprints.body;
-        let principal = self.fingerprints.principal;
-        let same_principal = principal.is_some() && fingerprints.principal == principal;
-        let same_tenant = self.tenant_is_known && candidate.key.tenant == self.key.tenant;
-        let request = MatchedRequest { key: candidate.key, holder };
+        let Some(run) = candidate.entry.run_for(self.arrived) else { return KeyMatch::New };
+        let AttemptComparison { same_principal, same_tenant, same_body } =
+            self.compare_parts(&candidate.key, &run.identity);
+        let request = MatchedRequest { key: candidate.key, holder: run.holder };
         match (same_principal, same_tenant, same_body) {
             (true, _, true) => KeyMatch::OfPrincipal(request),
             (false, true, true) => KeyMatch::OfTenant(request),
             (true, _, false) | (_, true, false) => KeyMatch::Conflict,
-            (false, false, true) if self.may_be_retry => KeyMatch::Ambiguous,
+            (false, false, true) if self.identity.may_be_retry => KeyMatch::Ambiguous,
             (false, false, _) => KeyMatch::New,
         }
     }
+
+    /// Iterates over the holders of the runs that may belong to the same request as this attempt, whichever of them was
+    /// read first. Unlike [`Self::best_match`], this includes a retry of an unknown sender that has overtaken this first
+    /// attempt: of two attempts of one request, at least one may be a retry.
+    pub(super) fn holders_of_same_request<'a>(
+        &'a self,
+        entries: impl Iterator<Item = KeyedEntry<'a>> + 'a,
+    ) -> impl Iterator<Item = RequestId> + 'a {
+        entries.filter_map(|candidate| {
+            let run = candidate.entry.run_for(self.arrived)?;
+            let AttemptComparison { same_principal, same_tenant, same_body } =
+                self.compare_parts(&candidate.key, &run.identity);
+            let same_sender = same_principal || same_tenant;
+            let either_may_be_retry = self.identity.may_be_retry || run.identity.may_be_retry;
+            (same_body && (same_sender || either_may_be_retry)).then_some(run.holder)
+        })
+    }
+
+    fn compare_parts(&self, run_key: &IdempotencyKey, run: &AttemptIdentity) -> AttemptComparison {
+        let fingerprints = self.identity.fingerprints;
+        let principal = fingerprints.principal;
+        AttemptComparison {
+            same_principal: principal.is_some() && run.fingerprints.principal == principal,
+            same_tenant: self.tenant_is_known && run_key.tenant == self.key.tenant,
+            same_body: run.fingerprints.body == fingerprints.body,
+        }
+    }
 }
--- a/src/dispatch/idempotency/mod.rs
+++ b/src/dispatch/idempotency/mod.rs
@@ -19,5 +19,5 @@
 
 pub use entry::Entry;
 pub use key::{IdempotencyKey, IdempotencyUpdate, KeyProgress};
-pub use matching::{KeyMatch, KeyedAttempt, MatchedRequest, RequestFingerprints};
+pub use matching::{AttemptIdentity, KeyMatch, KeyedAttempt, MatchedRequest, RequestFingerprints};
 pub use table::{IdempotencyTable, OpenKey};
--- a/src/dispatch/idempotency/table.rs
+++ b/src/dispatch/idempotency/table.rs
@@ -3,7 +3,7 @@
 use super::entries::Entries;
 use super::entry::Entry;
 use super::key::{IdempotencyKey, IdempotencyUpdate, KeyProgress};
-use super::matching::{KeyMatch, KeyedAttempt, RequestFingerprints};
+use super::matching::{AttemptIdentity, KeyMatch, KeyedAttempt};
 use crate::interface::RequestId;
 use std::collections::VecDeque;
 
@@ -80,6 +80,15 @@
         attempt.best_match(self.entries.of_all_tenants(&attempt.key))
     }
 
+    /// Iterates over the holders of the runs, queued, in progress or ended, that may belong to the same request as an
+    /// attempt, whichever of them was read first.
+    pub fn holders_of_same_request<'a>(
+        &'a self,
+        attempt: &'a KeyedAttempt,
+    ) -> impl Iterator<Item = RequestId> + 'a {
+        attempt.holders_of_same_request(self.entries.of_all_tenants(&attempt.key))
+    }
+
     /// Returns the progress of the key's previous run if an attempt that arrived at `arrived` shares that run.
     #[must_use]
     pub fn previous_progress(&self, key: &IdempotencyKey, arrived: f64) -> Option<KeyProgress> {
@@ -96,18 +105,18 @@
         &mut self,
         key: &IdempotencyKey,
         holder: RequestId,
-        fingerprints: RequestFingerprints,
+        identity: AttemptIdentity,
         expires_at: f64,
     ) {
         let Some(entry) = self.entries.get_mut(key) else {
-            return self.entries.insert(key, Entry::new(holder, fingerprints, expires_at));
+            return self.entries.insert(key, Entry::new(holder, identity, expires_at));
         };
         if entry.holder != holder && entry.progress != KeyProgress::Open {
             let dropped = entry.replace_previous_run();
             self.result_bytes -= dropped.map_or(0, |run| run.progress.result_bytes());
         }
         entry.holder = holder;
-        entry.fingerprints = fingerprints;
+        entry.identity = identity;
         entry.expires_at = expires_at;
     }
 
@@ -117,7 +126,7 @@
         let entry = self.entries.get(key);
         IdempotencyUpdate {
             key: key.clone(),
-            fingerprints: entry.map_or(RequestFingerprints { body: 0, principal: None }, |e| e.fingerprints),
+            identity: entry.map_or(AttemptIdentity::UNKNOWN, |e| e.identity),
             expires_at: entry.map_or(0.0, |e| e.expires_at),
             progress: entry.map(|e| e.progress.clone()),
         }
@@ -147,7 +156,7 @@
     pub fn adopt(&mut self, update: &IdempotencyUpdate, holder: RequestId) {
         let is_new = !self.entries.contains(&update.key);
         let Some(progress) = update.progress.clone().filter(|_| is_new) else { return };
-        self.retain(&update.key, holder, update.fingerprints, update.expires_at);
+        self.retain(&update.key, holder, update.identity, update.expires_at);
         if let Some(entry) = self.entries.get_mut(&update.key) {
             entry.in_other_process = true;
         }
--- a/src/dispatch/idempotency/tests.rs
+++ b/src/dispatch/idempotency/tests.rs
@@ -9,19 +9,14 @@
     IdempotencyKey { class: 0, tenant: None, key: name.into() }
 }
 
-fn fingerprints(body: u64) -> RequestFingerprints {
-    RequestFingerprints { body, principal: None }
+/// The identity of the first attempt of a request with this body.
+fn first_attempt(body: u64) -> AttemptIdentity {
+    AttemptIdentity { fingerprints: RequestFingerprints { body, principal: None }, may_be_retry: false }
 }
 
 /// The first attempt of a request with this body.
 fn attempt(key: &IdempotencyKey, body: u64, arrived: f64) -> KeyedAttempt {
-    KeyedAttempt {
-        key: key.clone(),
-        tenant_is_known: true,
-        fingerprints: fingerprints(body),
-        arrived,
-        may_be_retry: false,
-    }
+    KeyedAttempt { key: key.clone(), tenant_is_known: true, identity: first_attempt(body), arrived }
 }
 
 /// The holder of the run that an attempt shares.
@@ -37,7 +32,7 @@
 #[test]
 fn an_attempt_is_matched_by_its_arrival_and_not_by_when_it_is_read() {
     let mut keys = IdempotencyTable::new(100, 9, 0.0);
-    keys.retain(&key("a"), RequestId(1), fingerprints(0), 10.0);
+    keys.retain(&key("a"), RequestId(1), first_attempt(0), 10.0);
     keys.complete(&key("a"), RequestId(1), served(b"done"));
     keys.remove_expired(12.0);
     assert_eq!(holder_of_a(&keys, 9.9), Some(RequestId(1)));
@@ -49,7 +44,7 @@
 #[test]
 fn an_open_run_is_matched_beyond_its_window() {
     let mut keys = IdempotencyTable::new(100, 9, 0.0);
-    keys.retain(&key("a"), RequestId(1), fingerprints(0), 10.0);
+    keys.retain(&key("a"), RequestId(1), first_attempt(0), 10.0);
     keys.remove_expired(30.0);
     assert_eq!(holder_of_a(&keys, 30.0), Some(RequestId(1)));
 }
@@ -58,7 +53,7 @@
 fn results_beyond_the_capacity_are_dropped_oldest_first_and_their_keys_stay() {
     let mut keys = IdempotencyTable::new(10, 9, 0.0);
     for (i, name) in ["a", "b"].iter().enumerate() {
-        keys.retain(&key(name), RequestId(i as u64), fingerprints(0), 10.0);
+        keys.retain(&key(name), RequestId(i as u64), first_attempt(0), 10.0);
         keys.complete(&key(name), RequestId(i as u64), served(b"sevenby"));
     }
     assert_eq!(holder_of_a(&keys, 1.0), Some(RequestId(0)));
@@ -74,7 +69,8 @@
 fn table_with_request_of_first_tenant() -> IdempotencyTable {
     let mut keys = IdempotencyTable::new(100, 9, 0.0);
     let holder_key = IdempotencyKey { tenant: FIRST_TENANT, ..key("a") };
-    let request = RequestFingerprints { body: 5, principal: PRINCIPAL };
+    let fingerprints = RequestFingerprints { body: 5, principal: PRINCIPAL };
+    let request = AttemptIdentity { fingerprints, may_be_retry: false };
     keys.retain(&holder_key, RequestId(1), request, 10.0);
     keys
 }
@@ -83,9 +79,11 @@
     KeyedAttempt {
         key: IdempotencyKey { tenant, ..key("a") },
         tenant_is_known: true,
-        fingerprints: RequestFingerprints { body, principal },
+        identity: AttemptIdentity {
+            fingerprints: RequestFingerprints { body, principal },
+            may_be_retry: true,
+        },
         arrived: 1.0,
-        may_be_retry: true,
     }
 }
 
@@ -110,7 +108,8 @@
     for principal in [None, Some(18)] {
         let other = retry_of_tenant(SECOND_TENANT, principal, 5);
         assert_eq!(keys.match_attempt(&other), KeyMatch::Ambiguous);
-        let first_attempt = KeyedAttempt { may_be_retry: false, ..other };
+        let identity = AttemptIdentity { may_be_retry: false, ..other.identity };
+        let first_attempt = KeyedAttempt { identity, ..other };
         assert_eq!(keys.match_attempt(&first_attempt), KeyMatch::New);
     }
 }
@@ -132,7 +131,7 @@
     let mut keys = table_with_request_of_first_tenant();
     let [first_key, second_key] =
         [FIRST_TENANT, SECOND_TENANT].map(|tenant| IdempotencyKey { tenant, ..key("a") });
-    keys.retain(&second_key, RequestId(2), fingerprints(6), 10.0);
+    keys.retain(&second_key, RequestId(2), first_attempt(6), 10.0);
     assert_eq!(keys.len(), 2);
     keys.complete(&second_key, RequestId(2), served(b"second"));
     keys.complete(&first_key, RequestId(1), served(b"first"));
@@ -152,9 +151,9 @@
 #[test]
 fn a_previous_run_is_matched_within_its_window_while_another_holder_has_the_key_and_after() {
     let mut keys = IdempotencyTable::new(100, 9, 0.0);
-    keys.retain(&key("a"), RequestId(1), fingerprints(5), 10.0);
+    keys.retain(&key("a"), RequestId(1), first_attempt(5), 10.0);
     keys.complete(&key("a"), RequestId(1), served(b"done"));
-    keys.retain(&key("a"), RequestId(2), fingerprints(6), 21.0);
+    keys.retain(&key("a"), RequestId(2), first_attempt(6), 21.0);
     let matched = |keys: &IdempotencyTable, body, arrived| {
         keys.match_attempt(&attempt(&key("a"), body, arrived)).request().map(|request| request.holder.0)
     };
@@ -170,7 +169,7 @@
     assert_eq!((matched(&keys, 5, 9.9), matched(&keys, 5, 10.1)), (Some(1), None));
     assert_eq!((conflicts(&keys, 6, 9.9), conflicts(&keys, 6, 10.1)), (true, false));
     // Another holder runs; the previous run is removed once no attempt of its window can be read any more.
-    keys.retain(&key("a"), RequestId(3), fingerprints(7), 22.0);
+    keys.retain(&key("a"), RequestId(3), first_attempt(7), 22.0);
     keys.complete(&key("a"), RequestId(3), served(b"anew"));
     assert_eq!(keys.result_bytes, 8);
     keys.remove_expired(16.1);
@@ -182,7 +181,7 @@
 #[test]
 fn an_entry_is_retained_for_as_long_as_callers_wait() {
     let mut keys = IdempotencyTable::new(100, 9, 14.0);
-    keys.retain(&key("a"), RequestId(1), fingerprints(0), 1.0);
+    keys.retain(&key("a"), RequestId(1), first_attempt(0), 1.0);
     keys.complete(&key("a"), RequestId(1), KeyProgress::Failed);
     keys.remove_expired(14.9);
     assert!(holder_of_a(&keys, 0.9).is_some());
--- a/src/dispatch/in_flight.rs
+++ b/src/dispatch/in_flight.rs
@@ -2,7 +2,7 @@
 //!
 //! All times are on the event loop's clock (seconds).
 
-use super::idempotency::{IdempotencyKey, RequestFingerprints};
+use super::idempotency::{AttemptIdentity, IdempotencyKey, KeyedAttempt};
 use super::{Command, Request, Ticket};
 use crate::interface::RequestId;
 use std::collections::HashMap;
@@ -49,10 +49,10 @@
     StartedAgain,
 }
 
-/// The idempotency key under which a request is known, and its fingerprints.
+/// The idempotency key under which a request is known, and what it is compared by.
 pub(super) struct RequestKey {
     pub(super) key: IdempotencyKey,
-    pub(super) fingerprints: RequestFingerprints,
+    pub(super) identity: AttemptIdentity,
 }
 
 /// A request that has been read and whose response or run is still outstanding.
@@ -94,6 +94,19 @@
         self.key.as_ref().map(|request_key| &request_key.key)
     }
 
+    /// Returns the request as an attempt to be compared with others, if it carries an idempotency key. It is compared under
+    /// the tenant of the request that it was matched with.
+    pub(super) fn keyed_attempt(&self) -> Option<KeyedAttempt> {
+        let RequestKey { key, identity } = self.key.as_ref()?;
+        let attempt = KeyedAttempt {
+            key: key.clone(),
+            tenant_is_known: true,
+            identity: *identity,
+            arrived: self.arrived,
+        };
+        Some(attempt)
+    }
+
     /// Returns whether its run has been commanded.
     pub(super) fn has_started(&self) -> bool {
         self.run != RunState::NotStarted
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -18,6 +18,7 @@
 mod lost_commands;
 mod messages;
 pub mod metrics;
+mod rejections;
 mod request_handoff;
 mod resource_usage;
 #[cfg(test)]
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod crossings;
 mod metrics;
+mod rejections;
 mod request_handoff;
 mod tenants;
 
--- a/src/dispatch/tests/tenants.rs
+++ b/src/dispatch/tests/tenants.rs
@@ -1,42 +1,42 @@
 //! Idempotency keys of requests whose tenant changes between attempts, and of several tenants that use the same key.
 
 use super::*;
-use crate::dispatch::idempotency::{IdempotencyUpdate, RequestFingerprints};
+use crate::dispatch::idempotency::{AttemptIdentity, IdempotencyUpdate, RequestFingerprints};
 use crate::hot_restart::IndeterminateKeys;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::HashSet;
 
-const FIRST_TENANT: Option<usize> = Some(0);
-const SECOND_TENANT: Option<usize> = Some(1);
+pub(super) const FIRST_TENANT: Option<usize> = Some(0);
+pub(super) const SECOND_TENANT: Option<usize> = Some(1);
 
 /// Settings with two tenants, whose callers mark retries.
-fn settings_with_tenants() -> Settings {
+pub(super) fn settings_with_tenants() -> Settings {
     let tenant = Tenant { quota_per_s: 1000.0 };
     Settings { tenants: vec![tenant.clone(), tenant], marks_retries: true, ..settings() }
 }
 
 /// Makes this user the sender of a request.
-fn sent_by(user: &str, request: Request) -> Request {
+pub(super) fn sent_by(user: &str, request: Request) -> Request {
     let principal = Principal { remote_user: Some(user.into()), server_name: None };
     Request { principal: Some(principal), ..request }
 }
 
 /// The first attempt of an order with key "k" and this body.
-fn order_of(number: u64, tenant: Option<usize>, body: &str) -> Request {
+pub(super) fn order_of(number: u64, tenant: Option<usize>, body: &str) -> Request {
     Request { tenant, body: body.as_bytes().into(), ..request(number, "k") }
 }
 
-fn retry_of(number: u64, tenant: Option<usize>, body: &str) -> Request {
+pub(super) fn retry_of(number: u64, tenant: Option<usize>, body: &str) -> Request {
     Request { retry: true, ..order_of(number, tenant, body) }
 }
 
 impl Harness {
-    fn with_tenants() -> Harness {
+    pub(super) fn with_tenants() -> Harness {
         Harness::with_settings(settings_with_tenants())
     }
 
-    fn arrive_as(&mut self, request: Request) -> Vec<Command> {
+    pub(super) fn arrive_as(&mut self, request: Request) -> Vec<Command> {
         self.input(Input::Arrived(request))
     }
 }
@@ -138,8 +138,9 @@
     let state = predecessor.dispatcher.hand_off(0.0, |_| true, &mut Vec::new());
     let update = state.keys[0].clone();
     // An older predecessor reports no principal.
-    let body_only = RequestFingerprints { principal: None, ..update.fingerprints };
-    let older_update = IdempotencyUpdate { fingerprints: body_only, ..update.clone() };
+    let body_only = RequestFingerprints { principal: None, ..update.identity.fingerprints };
+    let identity = AttemptIdentity { fingerprints: body_only, may_be_retry: true };
+    let older_update = IdempotencyUpdate { identity, ..update.clone() };
     for (update, response) in [(update, served(b"done")), (older_update, Response::Failed)] {
         let mut successor = Harness::with_tenants();
         successor.dispatcher.inherit_from_predecessor(state.fingerprint_key, Vec::new());
--- a/src/hot_restart/frame/messages.rs
+++ b/src/hot_restart/frame/messages.rs
@@ -94,6 +94,9 @@
     /// nor read it.
     #[serde(rename = "principal", default, skip_serializing_if = "Option::is_none")]
     pub principal_fingerprint: Option<u64>,
+    /// Whether the request was certainly the first attempt that its caller sent. Older processes neither send nor read it.
+    #[serde(rename = "first", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_first_attempt: bool,
     /// When the window ends in which callers may repeat the request (Unix milliseconds).
     #[serde(rename = "until_ms")]
     pub expires_at_ms: f64,
--- a/src/hot_restart/frame/tests.rs
+++ b/src/hot_restart/frame/tests.rs
@@ -10,6 +10,7 @@
             key: key.clone(),
             body_fingerprint: u64::MAX,
             principal_fingerprint: Some(u64::MAX),
+            is_first_attempt: false,
             expires_at_ms: 1.5e12,
             outcome,
         })
--- a/src/net/lifecycle/hot_restart/messages.rs
+++ b/src/net/lifecycle/hot_restart/messages.rs
@@ -1,6 +1,8 @@
 //! Conversion between the dispatcher's types and the frames that are sent between two processes.
 
-use crate::dispatch::idempotency::{IdempotencyKey, IdempotencyUpdate, KeyProgress, RequestFingerprints};
+use crate::dispatch::idempotency::{
+    AttemptIdentity, IdempotencyKey, IdempotencyUpdate, KeyProgress, RequestFingerprints,
+};
 use crate::dispatch::{HandedOffRequest, Request, Ticket};
 use crate::hot_restart::frame::{
     Bytes, HandedOffConnection, IndeterminateKeysReport, Key, KeyOutcome, KeyState, QueuedRequest,
@@ -19,8 +21,9 @@
     let IdempotencyKey { class, tenant, key } = update.key.clone();
     KeyState {
         key: Key { class, tenant, key },
-        body_fingerprint: update.fingerprints.body,
-        principal_fingerprint: update.fingerprints.principal,
+        body_fingerprint: update.identity.fingerprints.body,
+        principal_fingerprint: update.identity.fingerprints.principal,
+        is_first_attempt: !update.identity.may_be_retry,
         expires_at_ms: epoch_unix_ms + update.expires_at * 1000.0,
         outcome: match &update.progress {
             Some(KeyProgress::Open) => KeyOutcome::Open,
@@ -41,9 +44,12 @@
     let Key { class, tenant, key } = key_state.key;
     IdempotencyUpdate {
         key: IdempotencyKey { class, tenant, key },
-        fingerprints: RequestFingerprints {
-            body: key_state.body_fingerprint,
-            principal: key_state.principal_fingerprint,
+        identity: AttemptIdentity {
+            fingerprints: RequestFingerprints {
+                body: key_state.body_fingerprint,
+                principal: key_state.principal_fingerprint,
+            },
+            may_be_retry: !key_state.is_first_attempt,
         },
         expires_at: ((key_state.expires_at_ms - epoch_unix_ms) / 1000.0).min(latest_expiry),
         progress: match key_state.outcome {
--- a/tests/ajp/directory_outage.rs
+++ b/tests/ajp/directory_outage.rs
@@ -141,3 +141,58 @@
     assert!(portal.is_closed());
     assert!(w.worker.exits_successfully());
 }
+
+/// How the lookup of a first attempt ends after its retry has run over HTTP.
+#[derive(Clone, Copy, Debug)]
+enum LookupEnd {
+    DirectoryStops,
+    DirectoryDoesNotKnowThePortal,
+    DirectoryIsTooSlow,
+    RequestTimesOut,
+    ProcessExits,
+}
+
+/// Guards against a rejection of a first attempt that waited for the directory while its retry overtook it over HTTP and ran.
+#[test]
+fn first_attempt_without_tenant_is_not_rejected_after_its_retry_ran_over_http() {
+    for (end, status) in [
+        (LookupEnd::DirectoryStops, 502),
+        (LookupEnd::DirectoryDoesNotKnowThePortal, 502),
+        (LookupEnd::DirectoryIsTooSlow, 502),
+        (LookupEnd::RequestTimesOut, 504),
+        (LookupEnd::ProcessExits, 502),
+    ] {
+        let directory = match end {
+            LookupEnd::DirectoryIsTooSlow => "timeout_ms = 2000\ncache_s = 0",
+            _ => PATIENT_DIRECTORY,
+        };
+        let mut w = WorkerWithDirectory::start_with(directory, |c| c["stop_ms"] = json!(1500));
+        let mut order = order_of("portal", "k1");
+        if matches!(end, LookupEnd::RequestTimesOut) {
+            order.headers.push(("X-Deadline-Ms", b"2000"));
+        }
+        let first = w.send_unanswered(&order, b"hello");
+        let search = w.ldap().read_message();
+        w.place_retry_over_http("k1");
+        match end {
+            LookupEnd::DirectoryStops => w.stop_directory(),
+            LookupEnd::DirectoryDoesNotKnowThePortal => w.ldap().answer(&search, "portal", None),
+            LookupEnd::DirectoryIsTooSlow | LookupEnd::RequestTimesOut => {}
+            LookupEnd::ProcessExits => w.worker.terminate(),
+        }
+        assert_eq!(response_to(first).status, status, "{end:?}");
+    }
+}
+
+/// Guards against a tenant that makes the orders of others fail by sending their keys: only a retry can have overtaken a first
+/// attempt.
+#[test]
+fn first_attempt_without_tenant_is_rejected_although_another_first_attempt_has_its_key() {
+    let mut w = WorkerWithDirectory::start(PATIENT_DIRECTORY);
+    let first = w.send_unanswered(&order_of("portal", "k1"), b"hello");
+    w.ldap().read_message();
+    w.place_order_over_http("k1");
+    w.stop_directory();
+    assert_eq!(response_to(first).status, 503);
+    w.executor.expect_no_command(&w.worker);
+}
--- a/tests/ajp/portals.rs
+++ b/tests/ajp/portals.rs
@@ -52,10 +52,19 @@
         portal
     }
 
-    /// Sends an order of tenant `acme` over HTTP, and ends its run with the result "placed".
+    /// Sends the first attempt of an order of tenant `acme` over HTTP, and ends its run with the result "placed".
     pub fn place_order_over_http(&mut self, key: &str) {
+        self.run_over_http(&RequestBuilder::new("order").key(key));
+    }
+
+    /// Like [`WorkerWithDirectory::place_order_over_http`], but sends a retry.
+    pub fn place_retry_over_http(&mut self, key: &str) {
+        self.run_over_http(&RequestBuilder::new("order").key(key).retry());
+    }
+
+    fn run_over_http(&mut self, order: &RequestBuilder) {
         let mut router = Client::connect(self.worker.http);
-        router.send(&RequestBuilder::new("order").key(key));
+        router.send(order);
         let exec = self.executor.expect_command("EXEC");
         self.executor.send_exit(&exec["job"], "PASS", "placed");
         assert_eq!(router.read_response().body, b"placed");
--- a/tests/hot_restart/peers.rs
+++ b/tests/hot_restart/peers.rs
@@ -131,6 +131,7 @@
                 key,
                 body_fingerprint: 0,
                 principal_fingerprint: None,
+                is_first_attempt: false,
                 expires_at_ms: 4e12,
                 outcome,
             }));
@@ -212,6 +213,7 @@
         key,
         body_fingerprint: 7,
         principal_fingerprint: None,
+        is_first_attempt: false,
         expires_at_ms: unix_ms() as f64 + 9000.0,
         outcome,
     })
@@ -248,6 +250,7 @@
             key,
             body_fingerprint: 0,
             principal_fingerprint: None,
+            is_first_attempt: false,
             expires_at_ms: 4e12,
             outcome,
         });
--- a/tests/stored_forms/hand_off.rs
+++ b/tests/stored_forms/hand_off.rs
@@ -19,6 +19,7 @@
         key,
         body_fingerprint: u64::MAX,
         principal_fingerprint: None,
+        is_first_attempt: false,
         expires_at_ms: 1_700_000_000_123.5,
         outcome,
     })
@@ -156,6 +157,21 @@
     assert_decodes_to(payload, &newer);
 }
 
+/// Guards against a newer process whose mark of first attempts an older one can't read, or which takes a key without it for
+/// that of a first attempt.
+#[test]
+fn first_attempt_of_a_key_is_an_additional_field() {
+    let Frame::Key(older) = key_state(Some(1), KeyOutcome::Failed) else { unreachable!() };
+    assert!(!older.is_first_attempt);
+    let payload = concat!(
+        r#"{"Key":{"key":{"class":2,"tenant":1,"key":"order/17"},"print":18446744073709551615,"#,
+        r#""first":true,"until_ms":1700000000123.5,"end":"Failed"}}"#
+    );
+    let newer = Frame::Key(KeyState { is_first_attempt: true, ..older });
+    assert_eq!(to_hex(&newer.encode()), to_hex(&frame_with_payload(payload, false)));
+    assert_decodes_to(payload, &newer);
+}
+
 /// Guards against a report of the predecessor that an older process can't read, or whose field a newer one requires: the
 /// older form is that of the fixtures, which lack the field.
 #[test]
