Answer attempts of one key beyond 16 at once

What operators saw: 500 HTTP/2 clients that sent attempts of one key on all their streams, while its run took 7 s, took a worker to 197 MB of its 192 MB (release build, one run): it would be killed.

Cause: an attempt of a known key waits for its run and needs no slot, so no queue limits it, and the memory that it states is the client's choice. 49,500 attempts of 4 KB were held until their deadline.

Change: at most MAX_ATTEMPTS_PER_KEY attempts of a key are in flight. One more gets 503 while the order is queued, and 500 once its run has started, by the check that all rejections pass.

--- a/src/dispatch/arrival.rs
+++ b/src/dispatch/arrival.rs
@@ -6,6 +6,10 @@
 use super::{Command, Dispatcher, Request, Response, TenantError};
 use crate::interface::{Arrival, Event};
 
+/// Maximum number of attempts of one idempotency key in flight. They are not limited by the queue, since they wait for one
+/// run: callers that send a key ever again would fill the memory.
+pub(super) const MAX_ATTEMPTS_PER_KEY: usize = 16;
+
 /// Arrival time of a request and the time it has left.
 struct ArrivalTimes {
     /// When it arrived at the machine (event loop's clock, seconds).
@@ -92,7 +96,7 @@
     }
 
     /// Returns the response to an attempt that must not be admitted, because its key could run twice, because the table
-    /// of keys is full, or because the attempt could be served with another request's result.
+    /// of keys is full, because too many attempts of its key are in flight, or because the attempt could be served with another request's result.
     fn response_to_unsafe_attempt(&self, matched: &MatchedAttempt, times: &ArrivalTimes) -> Option<Response> {
         let is_new = matched.key_match == KeyMatch::New;
         // The key may have run in another process. Admitting the attempt could run it twice, and a rejection would
@@ -112,6 +116,11 @@
             // Its request may have run for another tenant, so it must neither run nor be rejected, and the result may be
             // that of another sender.
             KeyMatch::Ambiguous => Some(Response::Failed),
+            KeyMatch::OfTenant(ref request) | KeyMatch::OfPrincipal(ref request)
+                if self.in_flight.attempts_with(&request.key) >= MAX_ATTEMPTS_PER_KEY =>
+            {
+                Some(Response::not_started())
+            }
             KeyMatch::New | KeyMatch::OfTenant(_) | KeyMatch::OfPrincipal(_) => None,
         }
     }
--- a/src/dispatch/in_flight.rs
+++ b/src/dispatch/in_flight.rs
@@ -142,6 +142,8 @@
     by_name: HashMap<Rc<str>, RequestId>,
     /// Requests whose response is pending, by ticket.
     pub(super) by_ticket: HashMap<Ticket, RequestId>,
+    /// Number of requests by idempotency key; no count is 0.
+    attempts_by_key: HashMap<IdempotencyKey, usize>,
     pending_responses: usize,
 }
 
@@ -150,15 +152,34 @@
         self.by_name.insert(in_flight.request.name.clone(), id);
         self.by_ticket.insert(in_flight.request.ticket, id);
         self.pending_responses += 1;
+        if let Some(key) = in_flight.idempotency_key() {
+            *self.attempts_by_key.entry(key.clone()).or_default() += 1;
+        }
         self.requests.insert(id, in_flight);
     }
 
     pub(super) fn remove(&mut self, id: RequestId) {
-        if let Some(removed) = self.requests.remove(&id) {
-            self.by_name.remove(&removed.request.name);
+        let Some(removed) = self.requests.remove(&id) else { return };
+        self.by_name.remove(&removed.request.name);
+        if let Some(key) = removed.idempotency_key() {
+            self.remove_attempt(key);
+        }
+    }
+
+    fn remove_attempt(&mut self, key: &IdempotencyKey) {
+        if let Some(count) = self.attempts_by_key.get_mut(key) {
+            *count -= 1;
+            if *count == 0 {
+                self.attempts_by_key.remove(key);
+            }
         }
     }
 
+    /// Returns the number of requests that are known under an idempotency key.
+    pub(super) fn attempts_with(&self, key: &IdempotencyKey) -> usize {
+        self.attempts_by_key.get(key).copied().unwrap_or(0)
+    }
+
     pub(super) fn get(&self, id: RequestId) -> Option<&InFlight> {
         self.requests.get(&id)
     }
--- a/src/dispatch/tests/rejections.rs
+++ b/src/dispatch/tests/rejections.rs
@@ -2,6 +2,7 @@
 
 use super::tenants::{order_of, retry_of, sent_by, settings_with_tenants, FIRST_TENANT, SECOND_TENANT};
 use super::*;
+use crate::dispatch::arrival::MAX_ATTEMPTS_PER_KEY;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::{HashMap, HashSet};
@@ -78,6 +79,28 @@
     }
 }
 
+/// Guards against callers that fill the memory with attempts of one key: no queue limits them, since they wait for one run.
+#[test]
+fn attempts_of_a_key_beyond_the_limit_are_answered_immediately() {
+    let mut h = Harness::new();
+    h.arrive(1, "");
+    h.arrive(2, "");
+    let attempts = 3..3 + MAX_ATTEMPTS_PER_KEY as u64;
+    for number in attempts.clone() {
+        assert_eq!(responses(&h.arrive(number, "k")), vec![]);
+    }
+    // The order is queued, then it runs.
+    assert_eq!(responses(&h.arrive(50, "k")), vec![(50, Response::not_started())]);
+    assert_eq!(runs(&h.end(1, Outcome::Ok, b"x")), 1);
+    assert_eq!(responses(&h.arrive(51, "k")), vec![(51, Response::Failed)]);
+    // Attempts of other keys are not affected.
+    assert_eq!(responses(&h.arrive(52, "other")), vec![]);
+    let out = h.end(3, Outcome::Ok, b"placed");
+    let expected: Vec<_> = attempts.map(|number| (number, served(b"placed"))).collect();
+    assert_eq!(responses(&out), expected);
+    assert_eq!(responses(&h.arrive(53, "k")), vec![(53, served(b"placed"))]);
+}
+
 /// Guards against a failure of a request that certainly hasn't run: the entry of its own key is no evidence of a run.
 #[test]
 fn request_whose_run_provably_never_began_is_rejected() {
