Tell the successor the names of all requests that stay in its predecessor

What callers saw: a portal's request was queued in a worker that was being replaced, its id came again at the successor and ran there, and then the portal's request ran in the predecessor.

Cause: a predecessor sends the names of the requests that run in it. One that is queued on a connection that can't be handed off (AJP, HTTP/2) may start later and wasn't named; nor were, in a chain, the requests of the process before.

Change: the names of all requests that stay are sent, with those known of the predecessor's own predecessor, in the same field of the same frame.

--- a/src/dispatch/request_handoff.rs
+++ b/src/dispatch/request_handoff.rs
@@ -42,7 +42,8 @@
     pub fingerprint_key: FingerprintKey,
     /// Learned state of the controller.
     pub learned: LearnedState,
-    /// Names of the requests that run in this process.
+    /// Names of the requests that stay in this process, whether or not they have started, and of those known to run in
+    /// its own predecessor.
     pub running: Vec<Rc<str>>,
     /// State of all keys whose request may have run.
     pub keys: Vec<IdempotencyUpdate>,
@@ -97,17 +98,18 @@
         HandOffState {
             fingerprint_key: self.fingerprint_key,
             learned: self.learned_without(&requests),
-            running: self
-                .in_flight
-                .values()
-                .filter(|r| r.has_started())
-                .map(|r| r.request.name.clone())
-                .collect(),
+            running: self.names_in_this_or_earlier_processes(),
             keys: self.keys.keys().map(|key| self.keys.update_for(&key)).collect(),
             requests,
         }
     }
 
+    /// The names that the successor must not run: a request that stays here may start after the hand-off.
+    fn names_in_this_or_earlier_processes(&self) -> Vec<Rc<str>> {
+        let in_flight = self.in_flight.values().map(|in_flight| &in_flight.request.name);
+        in_flight.chain(&self.running_in_predecessor).cloned().collect()
+    }
+
     fn hand_off_requests(
         &mut self,
         can_hand_off: &impl Fn(Ticket) -> bool,
--- a/src/dispatch/tests/request_handoff.rs
+++ b/src/dispatch/tests/request_handoff.rs
@@ -269,6 +269,29 @@
     assert_eq!(out, vec![Command::Respond(Ticket(9), Response::Conflict)]);
 }
 
+/// Guards against a request that runs in both processes under one name: its attempt in the predecessor, which stays there
+/// because its connection can't be handed off, may start after the hand-off. The same in a chain of three processes.
+#[test]
+fn names_of_requests_that_stay_in_an_earlier_process_without_having_started_conflict() {
+    let mut first = Harness::new();
+    for number in 1..=3 {
+        first.arrive(number, "");
+    }
+    let state = first.dispatcher.hand_off(0.0, |_| false, &mut Vec::new());
+    let mut second = Harness::new();
+    second.dispatcher.inherit_from_predecessor(state.fingerprint_key, state.running);
+    let mut third = Harness::new();
+    let state = second.dispatcher.hand_off(0.0, |_| true, &mut Vec::new());
+    third.dispatcher.inherit_from_predecessor(state.fingerprint_key, state.running);
+    for successor in [&mut second, &mut third] {
+        let out = successor.input(Input::Arrived(Request { ticket: Ticket(9), ..request(3, "") }));
+        assert_eq!((runs(&out), responses(&out)), (0, vec![(9, Response::Conflict)]));
+        assert_eq!(runs(&successor.arrive(4, "")), 1);
+    }
+    // The request that stayed starts as soon as a slot is free.
+    assert_eq!(runs(&first.end(1, Outcome::Ok, b"x")), 1);
+}
+
 /// Guards against retries in the successor that wait until their deadline although the predecessor has reported the end
 /// of the run.
 #[test]
--- a/tests/ajp/frontend.rs
+++ b/tests/ajp/frontend.rs
@@ -3,7 +3,9 @@
 use crate::{forward, order, Ajp, FRONTEND, WORKER};
 use port_worker::net::upstreams::ajp_codec::{self, Direction, Forward, ToWebServer};
 use serde_json::json;
-use test_support::{reserve_address, to_base64, unix_ms, Client, SharedListener};
+use test_support::{
+    reserve_address, to_base64, unique_request_id, unix_ms, Client, RequestBuilder, SharedListener,
+};
 
 #[test]
 fn portal_connection_serves_pings_and_bodies_in_chunks() {
@@ -204,3 +206,42 @@
     executor.send_exit(&exec["job"], "PASS", "of the successor");
     assert_eq!(portal.read_response().0.body, b"of the successor");
 }
+
+/// Guards against an id that runs in both processes of a hot restart: a portal's request is queued in the predecessor, which
+/// starts it after the hand-off, and its id comes again at the successor.
+#[test]
+fn id_of_a_request_queued_in_the_predecessor_conflicts_at_the_successor() {
+    let (reserved, address) = reserve_address();
+    drop(reserved);
+    let operator = FRONTEND.replace("127.0.0.1:0", &address.to_string());
+    let shared = SharedListener::bind();
+    let with_console = |c: &mut serde_json::Value| c["console"] = json!("127.0.0.1:0");
+    let mut predecessor = WORKER.start_on_with(&shared, with_console, Some(&operator));
+    predecessor.wait_log("listeners_acquired");
+    let mut predecessor_executor = predecessor.accept_link();
+    // All cores are busy, so that no third run starts.
+    predecessor_executor.gauges = [1.0, 4.0, 0.1, 3.0];
+    let mut portals = [Ajp::connect(address), Ajp::connect(address)];
+    let execs = portals.each_mut().map(|portal| {
+        portal.send(&forward("/portal/look", ""), b"hello");
+        predecessor_executor.expect_command("EXEC")
+    });
+    let id = unique_request_id();
+    let mut request = forward("/portal/look", "");
+    request.headers.push(("X-Correlation-Id", id.as_bytes()));
+    let mut queued = Ajp::connect(address);
+    queued.send(&request, b"hello");
+    while predecessor.metric("svc.concurrent") < 3 {}
+
+    let successor = WORKER.start_on_with(&shared, with_console, Some(&operator));
+    let mut executor = successor.accept_link();
+    successor.wait_ready();
+    let mut again = Client::connect(successor.http);
+    assert_eq!(again.request(&RequestBuilder::new("look").id(&id)).status, 409);
+    predecessor_executor.send_exit(&execs[0]["job"], "PASS", "first");
+    let exec = predecessor_executor.expect_command("EXEC");
+    assert_eq!(exec["job"], id.as_str());
+    predecessor_executor.send_exit(&exec["job"], "PASS", "queued");
+    assert_eq!(queued.read_response().0.body, b"queued");
+    executor.expect_no_command(&successor);
+}
