Don't run the next request of a client that has left

What callers saw: a client wrote many requests at once and closed its connection with all responses unread; after the first response the second request was started all the same. Over HTTP/2, requests written before a close were started. A queued request stayed queued although its client had reset, if more of its data was unread than the buffer holds.

Cause: the next request is taken from the buffer as soon as the response is written, and the close shows only in what is read later, or in the reset that answers the response. With a full buffer nothing is read, so a reset isn't noticed. The HTTP/2 codec got the requests in one poll and the end of the connection in the next.

Change: Link::peer_state asks the system (poll) for the peer's state whatever is unread. A pipelined request isn't read if the peer has gone; if it ended its sending side, the request waits for 50 ms, since only a reset tells a closed peer from a half-close. Requests of an HTTP/2 client that has ended its side aren't dispatched. A successor checks handed-off connections in the same way.

A half-closing client is still served.

--- a/src/net/frontends/ajp/mod.rs
+++ b/src/net/frontends/ajp/mod.rs
@@ -66,6 +66,7 @@
                 NextStep::Read => {}
                 NextStep::Wait => return,
                 NextStep::Yield => break,
+                NextStep::Delay => return self.connections.delay(id),
                 NextStep::Close => return self.connections.close_and_notify(id, turn.inputs),
             }
             let read_status = connection.link.fill();
@@ -249,7 +250,7 @@
         for id in self.connections.take_scheduled() {
             self.process_connection(id, turn);
         }
-        accept_again
+        accept_again || self.connections.has_delayed()
     }
 
     fn owns(&self, ticket: Ticket) -> bool {
--- a/src/net/frontends/connections/connection.rs
+++ b/src/net/frontends/connections/connection.rs
@@ -1,12 +1,16 @@
 //! A single connection: its state, its next step, and its closing.
 
-use crate::net::io::buffer::{Link, ReadStatus};
+use crate::net::io::buffer::{Link, PeerState, ReadStatus};
 use crate::net::io::source::Readiness;
 
 /// Limit on the steps of one connection before the others are processed: a peer that sends continuously must not
 /// monopolize the event loop.
 pub const MAX_CONSECUTIVE_STEPS: usize = 32;
 
+/// How long the next request on a connection waits after a response to a peer that has closed its sending side, so that a
+/// reset in answer to the response arrives first (seconds).
+const RESET_WAIT_S: f64 = 0.05;
+
 /// Idle timeout of a lingering close, measured from the last byte received: a peer that continues to send after its
 /// rejection must not lose the response to a reset (seconds).
 const LINGER_IDLE_TIMEOUT_S: f64 = 1.0;
@@ -43,6 +47,8 @@
     Wait,
     /// Continue after the other connections have been processed.
     Yield,
+    /// Continue later, without waiting for a poll event: see [`Connections::delay`](super::Connections::delay).
+    Delay,
     /// Close the connection.
     Close,
 }
@@ -65,6 +71,8 @@
     pub close_after_response: bool,
     /// Whether input has been buffered since the frontend last processed the connection.
     pub(super) has_unseen_bytes: bool,
+    /// Whether the next request was sent before the previous response was written, so that its client may have left.
+    pub(super) has_pipelined_request: bool,
     /// The protocol-specific state.
     pub protocol_state: P,
 }
@@ -81,6 +89,7 @@
             requests_read: 0,
             close_after_response: false,
             has_unseen_bytes: false,
+            has_pipelined_request: false,
             protocol_state,
         }
     }
@@ -94,20 +103,39 @@
             }
             match self.state {
                 // A connection handles one request at a time: further input stays in the buffer, and in the kernel once
-                // the buffer is full. The socket is read here because only a read reveals a reset, after which the
-                // dispatcher need not continue the request.
+                // the buffer is full. The socket is read here because a read reveals a reset, after which the dispatcher
+                // need not continue the request.
                 AwaitingResponse if self.link.fill() == ReadStatus::Broken => return NextStep::Close,
+                AwaitingResponse if self.link.peer_state_behind_full_input() == PeerState::Gone => {
+                    return NextStep::Close;
+                }
                 AwaitingResponse | HandedOff => return NextStep::Wait,
                 Responding if self.link.queued() > 0 => return NextStep::Wait,
                 Responding if self.close_after_response => self.half_close(now),
-                Responding => self.set_state(now, Idle),
+                Responding => {
+                    self.set_state(now, Idle);
+                    self.has_pipelined_request = !self.link.data().is_empty() || self.link.has_unread();
+                }
                 Closing => return self.discard_input(now),
+                Idle | Reading if self.has_pipelined_request => return self.check_pipelining_peer(now),
                 Idle | Reading => return NextStep::Read,
             }
         }
         NextStep::Yield
     }
 
+    /// Decides whether a pipelined request is read. A client that has closed its connection can't read the response, and its
+    /// request must not run. One that has only closed its sending side still reads.
+    fn check_pipelining_peer(&mut self, now: f64) -> NextStep {
+        match self.link.peer_state() {
+            PeerState::Gone => return NextStep::Close,
+            PeerState::EndedSending if now < self.state_since + RESET_WAIT_S => return NextStep::Delay,
+            PeerState::EndedSending | PeerState::Open => {}
+        }
+        self.has_pipelined_request = false;
+        NextStep::Read
+    }
+
     /// Reads no further request: writes the queued output, then closes the connection.
     pub fn finish(&mut self, now: f64) {
         self.close_after_response = true;
--- a/src/net/frontends/connections/eviction.rs
+++ b/src/net/frontends/connections/eviction.rs
@@ -51,6 +51,8 @@
             ConnectionState::Idle | ConnectionState::Reading if is_silent => Some(EvictionRank::Silent),
             ConnectionState::Closing => Some(EvictionRank::Closing),
             // A connection accepted in this turn has not been read yet: its request may already be there.
+            // Its next request has been read already.
+            ConnectionState::Idle if self.has_pipelined_request => None,
             ConnectionState::Idle if no_request_yet => {
                 (now > self.opened_at).then_some(EvictionRank::JustAccepted)
             }
--- a/src/net/frontends/connections/handoff.rs
+++ b/src/net/frontends/connections/handoff.rs
@@ -48,6 +48,7 @@
         connection.state = resumed_state(&connection.link, request_in_flight);
         connection.requests_read = detached.requests_read;
         connection.close_after_response = detached.close_after_response;
+        connection.has_pipelined_request = connection.requests_read > 0 && !connection.link.data().is_empty();
         connection.has_unseen_bytes = !connection.link.data().is_empty();
         self.by_id.insert(id, connection);
         self.scheduled.push(id);
--- a/src/net/frontends/connections/mod.rs
+++ b/src/net/frontends/connections/mod.rs
@@ -38,6 +38,8 @@
     by_id: HashMap<u64, Connection<P>>,
     /// Ids of the connections that the frontend has to process.
     scheduled: Vec<u64>,
+    /// Ids of the connections to process when the frontend is called next, at the latest after the pause of accepting.
+    delayed: Vec<u64>,
     /// A connection that has sent no complete request for this long may be evicted.
     silence_limit_s: f64,
     /// Limit on the number of connections.
@@ -58,6 +60,7 @@
             max_unread_bytes,
             by_id: HashMap::new(),
             scheduled: Vec::new(),
+            delayed: Vec::new(),
             silence_limit_s: eviction::SILENCE_LIMIT_S,
             max_open: usize::MAX,
             pending_stream: None,
@@ -137,9 +140,21 @@
         self.scheduled.push(id);
     }
 
+    /// Schedules a connection for processing after a short time. Until then [`Connections::has_delayed`] is `true`.
+    pub fn delay(&mut self, id: u64) {
+        self.delayed.push(id);
+    }
+
+    /// Whether a connection has to be processed after a short time, without a poll event.
+    #[must_use]
+    pub fn has_delayed(&self) -> bool {
+        !self.delayed.is_empty()
+    }
+
     /// Takes the ids of the connections to process, without duplicates, in the order in which they were accepted.
     pub fn take_scheduled(&mut self) -> Vec<u64> {
         let mut scheduled = std::mem::take(&mut self.scheduled);
+        scheduled.append(&mut self.delayed);
         scheduled.sort_unstable();
         scheduled.dedup();
         for id in &scheduled {
--- a/src/net/frontends/frontend.rs
+++ b/src/net/frontends/frontend.rs
@@ -39,8 +39,8 @@
     /// If the address can't be bound or the socket can't be polled.
     fn open(&mut self, socket: Option<Rc<TcpListener>>) -> Result<(), ListenError>;
 
-    /// Accepts connections and reads from them; requests become inputs. Returns `true` if accepting had to stop early
-    /// and must be resumed.
+    /// Accepts connections and reads from them; requests become inputs. Returns `true` if it must be called
+    /// again after the pause of accepting, without a poll event.
     fn gather(&mut self, turn: &mut FrontendTurn<'_>) -> bool;
 
     /// Whether the request with this ticket came on one of this frontend's connections.
--- a/src/net/frontends/http1/mod.rs
+++ b/src/net/frontends/http1/mod.rs
@@ -67,6 +67,7 @@
                 NextStep::Read => {}
                 NextStep::Wait => return,
                 NextStep::Yield => break,
+                NextStep::Delay => return self.connections.delay(id),
                 NextStep::Close => return self.connections.close_and_notify(id, inputs),
             }
             let read_status = connection.link.fill();
@@ -112,7 +113,7 @@
         for id in self.connections.take_scheduled() {
             self.process_connection(id, turn);
         }
-        accept_again
+        accept_again || self.connections.has_delayed()
     }
 
     fn owns(&self, ticket: Ticket) -> bool {
--- a/src/net/frontends/http2/connection.rs
+++ b/src/net/frontends/http2/connection.rs
@@ -7,7 +7,7 @@
 use crate::log::LogEvent;
 use crate::net::events::{FrontendEvent, SessionEndCause};
 use crate::net::frontends::connections::{Connection, ConnectionState, NextStep};
-use crate::net::io::buffer::{Link, ReadStatus};
+use crate::net::io::buffer::{Link, PeerState, ReadStatus};
 use crate::net::io::poll::Poll;
 use crate::net::{Clock, FrontendContext};
 use std::io;
@@ -122,7 +122,9 @@
             return self.close(id, turn.inputs);
         }
         let read_status = connection.link.fill();
-        if read_status == ReadStatus::Broken {
+        // A client that is throttled, or waits for a session, may leave more unread than fits.
+        let has_left = connection.link.peer_state_behind_full_input() != PeerState::Open;
+        if read_status == ReadStatus::Broken || has_left {
             return self.close(id, turn.inputs);
         }
         let has_session = connection.protocol_state.active.is_some();
@@ -140,7 +142,7 @@
         }
         match connection.advance(turn.now) {
             NextStep::Close => self.close(id, turn.inputs),
-            NextStep::Yield => self.connections.schedule(id),
+            NextStep::Yield | NextStep::Delay => self.connections.schedule(id),
             NextStep::Read | NextStep::Wait => {}
         }
     }
@@ -197,6 +199,12 @@
             self.owners.remove(&ticket.0);
             turn.inputs.push(Input::ClientDisconnected(ticket));
         }
+        // A client that has closed its side can't get a response: the codec ends the connection as soon as it reads that.
+        // Its requests must not run.
+        let has_requests = !output.requests.is_empty();
+        if has_requests && (output.ended || connection.link.peer_state() != PeerState::Open) {
+            return self.finish(id, turn.now, turn.inputs);
+        }
         for request in output.requests {
             self.owners.insert(request.ticket.0, id);
             turn.inputs.push(Input::Arrived(request));
--- a/src/net/io/buffer.rs
+++ b/src/net/io/buffer.rs
@@ -3,6 +3,7 @@
 
 use crate::net::io::poll::{self, Poll, Watch};
 use crate::net::io::source::{Readiness, Source};
+use rustix::event::{poll as poll_descriptors, PollFd, PollFlags, Timespec};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice, Read, Write};
@@ -46,6 +47,18 @@
     Broken,
 }
 
+/// What the system knows of the peer, whatever is still unread.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerState {
+    /// It can send and receive.
+    Open,
+    /// It has closed its sending side. Whether it still receives shows only when it is sent something: a peer that has closed
+    /// its socket answers that with a reset.
+    EndedSending,
+    /// It has reset the connection, or both sides are closed.
+    Gone,
+}
+
 /// A watched TCP connection.
 pub struct Link {
     stream: Rc<TcpStream>,
@@ -168,6 +181,34 @@
         }
     }
 
+    /// Asks the system for the state of the peer. Costs a system call.
+    #[must_use]
+    pub fn peer_state(&self) -> PeerState {
+        let mut descriptors = [PollFd::new(&*self.stream, PollFlags::RDHUP)];
+        // An interrupted call is one in which nothing has been reported.
+        let _ = poll_descriptors(&mut descriptors, Some(&Timespec { tv_sec: 0, tv_nsec: 0 }));
+        let reported = descriptors[0].revents();
+        if reported.intersects(PollFlags::ERR | PollFlags::HUP | PollFlags::NVAL) {
+            PeerState::Gone
+        } else if self.read_ended || reported.contains(PollFlags::RDHUP) {
+            PeerState::EndedSending
+        } else {
+            PeerState::Open
+        }
+    }
+
+    /// The state of the peer if [`Link::fill`] can't notice it, because the input buffer is full and nothing more is read;
+    /// otherwise [`PeerState::Open`].
+    #[must_use]
+    pub fn peer_state_behind_full_input(&self) -> PeerState {
+        let is_full = self.data().len() >= self.max_unread_bytes;
+        if is_full && self.has_unread() {
+            self.peer_state()
+        } else {
+            PeerState::Open
+        }
+    }
+
     /// Discards the available data without copying it, since the data of a peer that keeps sending after it was
     /// rejected is not worth the processor time. Stops once `max_bytes` bytes are discarded, or up to 64 KiB more.
     /// Returns the state of the connection and whether any data was received.
--- a/src/net/lifecycle/console.rs
+++ b/src/net/lifecycle/console.rs
@@ -86,7 +86,7 @@
         match c.advance(now) {
             NextStep::Read => {}
             NextStep::Wait => return,
-            NextStep::Yield => return self.connections.schedule(id),
+            NextStep::Yield | NextStep::Delay => return self.connections.schedule(id),
             NextStep::Close => return self.connections.close(id),
         }
         let read_status = c.link.fill();
--- a/tests/ajp/frontend.rs
+++ b/tests/ajp/frontend.rs
@@ -207,6 +207,26 @@
     assert_eq!(portal.read_response().0.body, b"of the successor");
 }
 
+/// Guards against requests that run although their web server has closed the connection with all responses unread.
+#[test]
+fn pipelined_requests_of_a_web_server_that_has_left_do_not_run() {
+    for requests in [20, 600] {
+        let worker = WORKER.start_with(|_| {}, Some(FRONTEND));
+        let mut executor = worker.accept_link();
+        let mut portal = Ajp::connect(worker.ajp.unwrap());
+        for _ in 0..requests {
+            portal.send(&forward("/portal/look", ""), b"hello");
+        }
+        let exec = executor.expect_command("EXEC");
+        drop(portal);
+        executor.send_exit(&exec["job"], "PASS", "served");
+        executor.expect_no_command(&worker);
+        // Longer than the time for which the worker waits for a reset.
+        std::thread::sleep(std::time::Duration::from_millis(150));
+        executor.expect_no_command(&worker);
+    }
+}
+
 /// Guards against an id that runs in both processes of a hot restart: a portal's request is queued in the predecessor, which
 /// starts it after the hand-off, and its id comes again at the successor.
 #[test]
--- a/tests/http/connections.rs
+++ b/tests/http/connections.rs
@@ -183,3 +183,70 @@
     assert_eq!(retrying.request(&RequestBuilder::new("order").key("5c0f")).body, b"done");
     executor.expect_no_command(&worker);
 }
+
+/// How a client leaves its connection.
+#[derive(Clone, Copy, Debug)]
+enum Leave {
+    Close,
+    Reset,
+}
+
+/// Guards against requests that run although their client has left: it wrote many at once and read no response. With 600 of
+/// them the worker's input buffer is full, so that reading shows neither a close nor a reset.
+#[test]
+fn pipelined_requests_of_a_client_that_has_left_do_not_run() {
+    for (requests, leave) in
+        [(20, Leave::Close), (20, Leave::Reset), (600, Leave::Close), (600, Leave::Reset)]
+    {
+        let worker = WORKER.start();
+        let mut executor = worker.accept_link();
+        let mut client = Client::connect(worker.http);
+        client.write(&(0..requests).map(|_| RequestBuilder::new("look").text()).collect::<String>());
+        let exec = executor.expect_command("EXEC");
+        match leave {
+            Leave::Close => drop(client),
+            Leave::Reset => client.reset(),
+        }
+        executor.send_exit(&exec["job"], "PASS", "served");
+        executor.expect_no_command(&worker);
+        // Longer than the time for which the worker waits for a reset.
+        std::thread::sleep(Duration::from_millis(150));
+        executor.expect_no_command(&worker);
+    }
+}
+
+/// Guards against a client that loses its responses because it ends its sending side after its last request.
+#[test]
+fn pipelined_requests_of_a_client_that_ended_its_sending_side_are_served() {
+    let worker = WORKER.start();
+    let mut executor = worker.accept_link();
+    let mut client = Client::connect(worker.http);
+    client.write(&(0..3).map(|_| RequestBuilder::new("look").text()).collect::<String>());
+    client.reader.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
+    for _ in 0..3 {
+        executor.serve_next(&mut client, "served");
+    }
+    assert!(client.is_closed());
+}
+
+/// Guards against a queued request that runs although its client has reset the connection: with a full input buffer, reading
+/// doesn't show the reset.
+#[test]
+fn reset_behind_a_full_input_buffer_drops_the_queued_request() {
+    let worker = WORKER.start_with(|c| c["console"] = json!("127.0.0.1:0"), None);
+    let mut executor = worker.accept_link();
+    // The gauges report busy cores; otherwise the worker may start a third run on a slow machine.
+    executor.gauges = [1.0, 4.0, 0.1, 3.0];
+    let mut routers: Vec<Client> = (0..2).map(|_| Client::connect(worker.http)).collect();
+    for router in &mut routers {
+        router.send(&RequestBuilder::new("look"));
+        executor.expect_command("EXEC");
+    }
+    let mut leaving = Client::connect(worker.http);
+    leaving.write(&(0..600).map(|_| RequestBuilder::new("look").text()).collect::<String>());
+    wait_pending_responses(&worker, 3);
+    leaving.reset();
+    wait_pending_responses(&worker, 2);
+    // It was dropped for the reset, and not rejected because it was queued for too long.
+    assert_eq!((worker.metric("svc.replies.look.error"), worker.metric("svc.replies.look.overload")), (1, 0));
+}
--- a/tests/http2/requests.rs
+++ b/tests/http2/requests.rs
@@ -265,3 +265,24 @@
     }
     executor.expect_no_command(&worker);
 }
+
+/// Guards against requests that run although their client has closed the connection: no response can reach it.
+#[test]
+fn requests_of_a_client_that_has_closed_its_connection_do_not_run() {
+    let worker = WORKER.start_with(|_| {}, Some(FRONTEND));
+    let mut executor = worker.accept_link();
+    let mut peer = Peer::connect(&worker, &[]);
+    peer.send_request(1, "look", None, "hello");
+    let job = expect_start(&mut executor, "look");
+    executor.send_exit(&job, "PASS", "seen");
+    assert_eq!(peer.read_response(1).body, b"seen");
+    // Both are there when the worker goes on: the requests and the end of the connection.
+    worker.suspend();
+    // More than the worker reads at a time.
+    for number in 1..60 {
+        peer.send_request(2 * number + 1, "look", None, "hello");
+    }
+    drop(peer);
+    worker.resume();
+    executor.expect_no_command(&worker);
+}
