Share the steps of a round among all connections of a frontend

What callers saw: while 900 connections sent health checks over HTTP/1.1 at full speed, another client waited 661 ms (median, 725 ms at most) for its answers; with AJP pings 498 ms (1,030 ms at most). Without them it is 7 ms, with one such connection 36 ms at most.

Cause: a connection may take 32 steps before the next one is processed, each of which may answer a request. With 900 connections a round of the event loop has 28,800 steps, and a request, its run and its response each wait for a round.

Change: the connections of a frontend share 512 steps in a round, at least 1 and at most 32 each. Up to 16 busy connections nothing changes.

--- a/src/net/frontends/ajp/mod.rs
+++ b/src/net/frontends/ajp/mod.rs
@@ -10,7 +10,7 @@
 use crate::log::LogEvent;
 use crate::net::events::FrontendEvent;
 use crate::net::frontends::connections::{
-    Connection, ConnectionSet, ConnectionState, Connections, NextStep, MAX_CONSECUTIVE_STEPS,
+    max_steps_per_connection, Connection, ConnectionSet, ConnectionState, Connections, NextStep,
 };
 use crate::net::frontends::frontend::{Frontend, FrontendTurn};
 use crate::net::frontends::request_fields::{Catalog, TenantSource, MAX_BODY_BYTES};
@@ -58,9 +58,9 @@
         AjpFrontend { connections, settings, identity_source, id_seed, generated_ids: 0 }
     }
 
-    fn process_connection(&mut self, id: u64, turn: &mut FrontendTurn<'_>) {
+    fn process_connection(&mut self, id: u64, max_steps: usize, turn: &mut FrontendTurn<'_>) {
         let now = turn.clock.now();
-        for _ in 0..MAX_CONSECUTIVE_STEPS {
+        for _ in 0..max_steps {
             let Some(connection) = self.connections.get_mut(id) else { return };
             match connection.advance(now) {
                 NextStep::Read => {}
@@ -247,8 +247,10 @@
 
     fn gather(&mut self, turn: &mut FrontendTurn<'_>) -> bool {
         let accept_again = self.connections.accept(turn.clock.now());
-        for id in self.connections.take_scheduled() {
-            self.process_connection(id, turn);
+        let scheduled = self.connections.take_scheduled();
+        let max_steps = max_steps_per_connection(scheduled.len());
+        for id in scheduled {
+            self.process_connection(id, max_steps, turn);
         }
         accept_again || self.connections.has_delayed()
     }
--- a/src/net/frontends/connections/mod.rs
+++ b/src/net/frontends/connections/mod.rs
@@ -16,16 +16,27 @@
 mod set;
 mod sweeping;
 
-pub use connection::{Connection, ConnectionState, NextStep, MAX_CONSECUTIVE_STEPS};
+pub use connection::{Connection, ConnectionState, NextStep};
 pub use handoff::DetachedConnection;
 pub use set::ConnectionSet;
 
 use crate::dispatch::{Input, Ticket};
 use crate::net::io::poll::{Acceptor, Poll};
 use crate::net::io::source::{FrontendKind, Readiness};
+use connection::MAX_CONSECUTIVE_STEPS;
 use std::collections::HashMap;
 use std::net::TcpStream;
 
+/// Limit on the steps of all connections of a frontend in one round. Guards against clients that together send so much that
+/// others wait for long: each step may answer a request.
+const MAX_STEPS_PER_ROUND: usize = 512;
+
+/// The limit on the steps of one connection in a round in which `scheduled` connections are processed.
+#[must_use]
+pub fn max_steps_per_connection(scheduled: usize) -> usize {
+    (MAX_STEPS_PER_ROUND / scheduled.max(1)).clamp(1, MAX_CONSECUTIVE_STEPS)
+}
+
 /// A listener and its connections, each with protocol-specific state `P`.
 pub struct Connections<P> {
     /// `None` while no connections are accepted.
--- a/src/net/frontends/connections/tests.rs
+++ b/src/net/frontends/connections/tests.rs
@@ -55,6 +55,14 @@
     }
 }
 
+/// Guards against hundreds of clients that send continuously: each within its own limit, they would delay the others' answers.
+#[test]
+fn steps_of_all_connections_in_a_round_are_limited() {
+    for (scheduled, expected) in [(0, 32), (1, 32), (16, 32), (32, 16), (300, 1), (900, 1)] {
+        assert_eq!(max_steps_per_connection(scheduled), expected, "{scheduled} connections");
+    }
+}
+
 /// Regression test: when every request came on a new connection, connections just opened were evicted before their
 /// request arrived, although hundreds were idle after a single request.
 #[test]
--- a/src/net/frontends/http1/mod.rs
+++ b/src/net/frontends/http1/mod.rs
@@ -7,7 +7,7 @@
 
 use crate::dispatch::{Input, Response, Ticket};
 use crate::net::frontends::connections::{
-    Connection, ConnectionSet, ConnectionState, Connections, NextStep, MAX_CONSECUTIVE_STEPS,
+    max_steps_per_connection, Connection, ConnectionSet, ConnectionState, Connections, NextStep,
 };
 use crate::net::frontends::frontend::{Frontend, FrontendTurn};
 use crate::net::frontends::request_fields::MAX_BODY_BYTES;
@@ -56,11 +56,11 @@
         Http1Frontend { connections, address }
     }
 
-    fn process_connection(&mut self, id: u64, turn: &mut FrontendTurn<'_>) {
+    fn process_connection(&mut self, id: u64, max_steps: usize, turn: &mut FrontendTurn<'_>) {
         let FrontendTurn { clock, context, inputs, .. } = turn;
         let Some(connection) = self.connections.get_mut(id) else { return };
         let now = clock.now();
-        for _ in 0..MAX_CONSECUTIVE_STEPS {
+        for _ in 0..max_steps {
             match connection.advance(now) {
                 // The next request is left to the successor.
                 NextStep::Read if context.availability.handing_off => return,
@@ -110,8 +110,10 @@
 
     fn gather(&mut self, turn: &mut FrontendTurn<'_>) -> bool {
         let accept_again = self.connections.accept(turn.clock.now());
-        for id in self.connections.take_scheduled() {
-            self.process_connection(id, turn);
+        let scheduled = self.connections.take_scheduled();
+        let max_steps = max_steps_per_connection(scheduled.len());
+        for id in scheduled {
+            self.process_connection(id, max_steps, turn);
         }
         accept_again || self.connections.has_delayed()
     }
