Don't run a queued retry whose first attempt has run under another tenant

What callers saw: nothing reported; found by asking which later attempts concern a queued one. A marked retry is queued under one tenant, its first attempt comes under another tenant and runs, and the retry runs too when a slot is free.

Cause: whether a marked attempt of another tenant's order may run is decided when it arrives. A first attempt that arrives later counts as a request of its own, and the queued retry wasn't looked at again.

Change: before a marked attempt starts, the runs of the same key and body are looked up once more, by the function that the rejections use. If one has started, the attempt fails without a run, as it would had it arrived later.

Evidence: queued_retry_does_not_run_after_its_first_attempt_has_run_under_another_tenant counts a second run without this.

--- a/src/dispatch/actions.rs
+++ b/src/dispatch/actions.rs
@@ -42,6 +42,10 @@
     }
 
     fn start(&mut self, id: RequestId, effects: &mut Effects<'_>) {
+        if self.first_attempt_has_run(id) {
+            self.complete_never_ran(id, &Response::Failed, effects);
+            return;
+        }
         let Some(in_flight) = self.in_flight.get_mut(id).filter(|r| !r.responded) else {
             // The request was handed off in this turn, or got its response because the process is exiting.
             effects.events.push_back(Event::RunEnded { id, outcome: Outcome::NotStarted });
--- a/src/dispatch/arrival.rs
+++ b/src/dispatch/arrival.rs
@@ -129,8 +129,7 @@
     /// holder and run.
     fn shares_started_run(&self, keyed: Option<&MatchedAttempt>) -> bool {
         let Some(request) = keyed.and_then(|keyed| keyed.key_match.request()) else { return false };
-        // A holder that is not in flight has ended, or is in flight in the predecessor.
-        self.in_flight.get(request.holder).is_none_or(InFlight::has_started)
+        self.has_started(request.holder)
     }
 
     fn add_in_flight(
--- a/src/dispatch/rejections.rs
+++ b/src/dispatch/rejections.rs
@@ -8,6 +8,7 @@
 use super::idempotency::KeyedAttempt;
 use super::in_flight::InFlight;
 use super::{Dispatcher, Response, TenantError};
+use crate::interface::RequestId;
 
 impl Response {
     /// Returns the response to send in place of one which states that the request has not run, if an attempt of the request
@@ -34,10 +35,24 @@
         }
     }
 
+    /// Returns whether a queued request may be a retry whose first attempt has run meanwhile under another tenant. A retry
+    /// that arrives after such a run is never admitted ([`KeyMatch::Ambiguous`](super::idempotency::KeyMatch)), and one that
+    /// was admitted before it must not run either.
+    pub(super) fn first_attempt_has_run(&self, id: RequestId) -> bool {
+        let attempt = self.in_flight.get(id).and_then(InFlight::keyed_attempt);
+        let Some(attempt) = attempt.filter(|attempt| attempt.identity.may_be_retry) else { return false };
+        let mut other_holders = self.keys.holders_of_same_request(&attempt).filter(|holder| *holder != id);
+        other_holders.any(|holder| self.has_started(holder))
+    }
+
     /// Returns whether the run of any attempt that may belong to the same request has started.
     fn may_have_run(&self, attempt: &KeyedAttempt) -> bool {
+        self.keys.holders_of_same_request(attempt).any(|holder| self.has_started(holder))
+    }
+
+    /// Returns whether the holder of a key has started.
+    pub(super) fn has_started(&self, holder: RequestId) -> bool {
         // A holder that is not in flight has ended, or is in flight in the predecessor.
-        let has_started = |holder| self.in_flight.get(holder).is_none_or(InFlight::has_started);
-        self.keys.holders_of_same_request(attempt).any(has_started)
+        self.in_flight.get(holder).is_none_or(InFlight::has_started)
     }
 }
--- a/src/dispatch/tests/rejections.rs
+++ b/src/dispatch/tests/rejections.rs
@@ -10,6 +10,18 @@
 const DIRECTORY_UNAVAILABLE: TenantError = TenantError::DirectoryUnavailable;
 
 impl Harness {
+    /// The first tenant has used up its quota, so its next requests wait behind those of the second tenant.
+    fn with_first_tenant_over_quota() -> Harness {
+        let tenants = [0.0, 1000.0].map(|quota_per_s| Tenant { quota_per_s }).to_vec();
+        let settings = Settings { tenants, over_quota_weight: 0.1, ..settings_with_tenants() };
+        let mut h = Harness::with_settings(settings);
+        for number in 11..=14 {
+            h.arrive_as(Request { tenant: FIRST_TENANT, ..request(number, "") });
+            h.end(number, Outcome::Ok, b"x");
+        }
+        h
+    }
+
     /// Passes in an attempt of a portal for which the directory gave no tenant.
     fn arrive_without_tenant(&mut self, request: Request, error: TenantError) -> Vec<Command> {
         let request = sent_by("portal", Request { tenant: None, ..request });
@@ -55,15 +67,8 @@
 /// run meanwhile.
 #[test]
 fn queued_retry_is_not_rejected_after_its_first_attempt_has_run_under_another_tenant() {
-    // The first tenant uses up its quota, so its next requests wait behind those of the second tenant.
-    let tenants = [0.0, 1000.0].map(|quota_per_s| Tenant { quota_per_s }).to_vec();
-    let settings = Settings { tenants, over_quota_weight: 0.1, ..settings_with_tenants() };
     for process_exits in [false, true] {
-        let mut h = Harness::with_settings(settings.clone());
-        for number in 11..=14 {
-            h.arrive_as(Request { tenant: FIRST_TENANT, ..request(number, "") });
-            h.end(number, Outcome::Ok, b"x");
-        }
+        let mut h = Harness::with_first_tenant_over_quota();
         h.arrive(1, "");
         h.arrive(2, "");
         let out = [
@@ -79,6 +84,25 @@
     }
 }
 
+/// Guards against a second run of an order whose retry is queued while its first attempt, of a sender that has another tenant
+/// by then, runs.
+#[test]
+fn queued_retry_does_not_run_after_its_first_attempt_has_run_under_another_tenant() {
+    let mut h = Harness::with_first_tenant_over_quota();
+    h.arrive(1, "");
+    h.arrive(2, "");
+    h.arrive_as(retry_of(3, FIRST_TENANT, "order"));
+    h.arrive_as(retry_of(4, FIRST_TENANT, "order"));
+    h.arrive_as(order_of(5, SECOND_TENANT, "order"));
+    assert_eq!(runs(&h.end(1, Outcome::Ok, b"x")), 1);
+    let out = h.end(2, Outcome::Ok, b"x");
+    assert_eq!(runs(&out), 0);
+    assert_eq!(responses(&out)[1..], [(3, Response::Failed), (4, Response::Failed)]);
+    assert_eq!(responses(&h.end(5, Outcome::Ok, b"placed")), vec![(5, served(b"placed"))]);
+    // The slot is free again, and so is the key for another order.
+    assert_eq!(runs(&h.arrive_as(order_of(6, FIRST_TENANT, "another"))), 1);
+}
+
 /// Guards against callers that fill the memory with attempts of one key: no queue limits them, since they wait for one run.
 #[test]
 fn attempts_of_a_key_beyond_the_limit_are_answered_immediately() {
