Name the margins of a shutdown, and test a reset while the directory is asked

The margins were pairs of numbers; they are a type with named fields now, computed as before. A connection with a pipelined request that waits isn't idle.

--- a/src/net/frontends/connections/mod.rs
+++ b/src/net/frontends/connections/mod.rs
@@ -99,7 +99,11 @@
     #[must_use]
     pub fn all_idle(&self) -> bool {
         use ConnectionState::{Closing, HandedOff, Idle};
-        self.by_id.values().all(|connection| matches!(connection.state, Idle | Closing | HandedOff))
+        let is_idle = |connection: &Connection<P>| match connection.state {
+            Idle => !connection.has_pipelined_request,
+            state => matches!(state, Closing | HandedOff),
+        };
+        self.by_id.values().all(is_idle)
     }
 
     /// Whether all remaining connections are held by another process.
--- a/src/net/lifecycle/shutdown/timeline.rs
+++ b/src/net/lifecycle/shutdown/timeline.rs
@@ -4,15 +4,28 @@
 //! time is the time from SIGTERM to SIGKILL. Any grace and any stop time can be configured, and whatever they are,
 //! responses may still be pending when SIGKILL comes near.
 
-/// The listeners close at least this long before SIGKILL, even if the grace is longer (seconds, share of the stop
-/// time).
-const ACCEPT_MARGIN: (f64, f64) = (0.4, 0.5);
+/// A time before SIGKILL.
+struct Margin {
+    /// Length of the margin unless the stop time is short.
+    seconds: f64,
+    /// Upper bound of the margin, as a share of the stop time.
+    max_share: f64,
+}
+
+impl Margin {
+    /// The length of this margin (seconds), given the time from SIGTERM to SIGKILL.
+    fn of(&self, stop_s: f64) -> f64 {
+        self.seconds.min(stop_s * self.max_share)
+    }
+}
+
+/// The listeners close at least this long before SIGKILL, even if the grace is longer.
+const ACCEPT_MARGIN: Margin = Margin { seconds: 0.4, max_share: 0.5 };
 /// All pending requests are answered this long before SIGKILL. The controller rejects them earlier unless the stop
-/// time is too short (seconds, share of the stop time).
-const ANSWER_MARGIN: (f64, f64) = (0.15, 0.4);
-/// The process exits at least this long before SIGKILL, which closes sockets without reading them (seconds, share of
-/// the stop time).
-const EXIT_MARGIN: (f64, f64) = (0.05, 0.2);
+/// time is too short.
+const ANSWER_MARGIN: Margin = Margin { seconds: 0.15, max_share: 0.4 };
+/// The process exits at least this long before SIGKILL, which closes sockets without reading them.
+const EXIT_MARGIN: Margin = Margin { seconds: 0.05, max_share: 0.2 };
 
 /// The times of a graceful shutdown's steps.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -35,9 +48,10 @@
     pub fn new(noticed_at: f64, stop_s: f64, grace_s: f64) -> Timeline {
         let stop_s = stop_s.max(0.0);
         let kill_at = noticed_at + stop_s;
-        let before = |(margin_s, share): (f64, f64)| kill_at - margin_s.min(stop_s * share);
-        let accept_until = (noticed_at + grace_s.max(0.0)).min(before(ACCEPT_MARGIN));
-        let (answer_by, exit_by) = (before(ANSWER_MARGIN), before(EXIT_MARGIN));
+        let before_kill = |margin: &Margin| kill_at - margin.of(stop_s);
+        let accept_until = (noticed_at + grace_s.max(0.0)).min(before_kill(&ACCEPT_MARGIN));
+        let answer_by = before_kill(&ANSWER_MARGIN);
+        let exit_by = before_kill(&EXIT_MARGIN);
         Timeline { noticed_at, accept_until, answer_by, exit_by, kill_at }
     }
 }
--- a/tests/ajp/directory.rs
+++ b/tests/ajp/directory.rs
@@ -1,11 +1,13 @@
 //! Lookup of portals' tenants in an LDAP directory.
 
 use crate::ldap::{request_by, start_with_configuration, start_with_directory, Ldap};
+use crate::portals::{order_of, WorkerWithDirectory};
 use crate::Ajp;
 use ldap3_proto::proto::LdapResultCode;
 use serde_json::json;
 use std::net::TcpListener;
 use std::time::Duration;
+use test_support::unique_request_id;
 
 #[test]
 fn tenant_is_looked_up_once_and_cached_while_the_directory_is_down() {
@@ -91,3 +93,24 @@
     worker.wait_log("LDAP bind rejected");
     executor.expect_no_command(&worker);
 }
+
+/// Guards against a request that runs although its portal has reset the connection while the directory was asked.
+#[test]
+fn request_whose_portal_resets_while_the_directory_is_asked_does_not_run() {
+    let mut w = WorkerWithDirectory::start("timeout_ms = 10000\ncache_s = 0");
+    let id = unique_request_id();
+    let mut order = order_of("portal", "k1");
+    order.headers.push(("X-Correlation-Id", id.as_bytes()));
+    let leaving = w.send_unanswered(&order, b"hello");
+    let search = w.ldap().read_message();
+    leaving.reset();
+    w.executor.expect_no_command(&w.worker);
+    w.ldap().answer(&search, "portal", Some("acme"));
+    w.executor.expect_no_command(&w.worker);
+    // The portal comes again with the same id, and its order runs once.
+    let mut again = w.send(&order, b"hello", "acme");
+    let exec = w.executor.expect_command("EXEC");
+    assert_eq!(exec["job"], id.as_str());
+    w.executor.send_exit(&exec["job"], "PASS", "placed");
+    assert_eq!(again.read_response().0.body, b"placed");
+}
--- a/tests/ajp/main.rs
+++ b/tests/ajp/main.rs
@@ -12,6 +12,7 @@
 use std::fmt::Write as _;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
 use test_support::{Reply, RequestBuilder, WorkerProgram, TIMEOUT};
 
 /// The program under test.
@@ -45,6 +46,11 @@
         Ajp { stream }
     }
 
+    /// Resets the connection instead of closing it gracefully.
+    fn reset(self) {
+        socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
     fn write(&mut self, bytes: &[u8]) {
         self.stream.write_all(bytes).unwrap();
     }
