--- a/src/config/http2.rs
+++ b/src/config/http2.rs
@@ -65,7 +65,7 @@
 }
 
 fn default_open_streams_kb() -> u32 {
-    16 * 1024
+    8 * 1024
 }
 
 fn default_overhead_kb() -> u32 {
--- a/tests/operator_files.rs
+++ b/tests/operator_files.rs
@@ -67,7 +67,7 @@
         assert_eq!(http2.listen.port(), 7002);
         assert_eq!((http2.connections, http2.newcomers, http2.streams), (512, 32, 100));
         assert_eq!((http2.stream_window_kb, http2.connection_window_kb, http2.header_list_kb), (4, 64, 8));
-        assert_eq!((http2.send_buffer_kb, http2.waiting_kb, http2.open_streams_kb), (8, 4096, 16_384));
+        assert_eq!((http2.send_buffer_kb, http2.waiting_kb, http2.open_streams_kb), (8, 4096, 8192));
         assert_eq!((http2.pending_resets, http2.error_resets), (20, 64));
         assert_eq!((http2.idle_s, http2.ping_s), (30.0, 10.0));
         assert_eq!((http2.overhead_kb, http2.overhead_kb_per_s), (64, 4));
