Share the bytes of a round among all connections of the HTTP/2 frontend

Cause: 8 KiB are read from each connection before the next one is processed. That may be 1,600 fields, and with 500 connections a round of the event loop decodes 4 MB.

Change: the connections share 256 KiB in a round; each may send at least 1 KiB and at most 8 KiB. Up to 32 busy connections nothing changes.

--- a/src/net/frontends/http2/connection.rs
+++ b/src/net/frontends/http2/connection.rs
@@ -18,15 +18,28 @@
 const MAX_STREAMS_PER_ROUND: usize = 16;
 /// Limit on the bytes read from one connection per poll; the rounds of a turn limit the number of polls.
 const MAX_BYTES_PER_POLL: usize = 8 * 1024;
+/// Limit on the bytes read from all connections in one round of the event loop, as far as each may send
+/// [`MIN_BYTES_PER_POLL`].
+const MAX_BYTES_PER_ROUND: usize = 256 * 1024;
+/// Bytes that may be read from each connection per poll, however many there are.
+const MIN_BYTES_PER_POLL: usize = 1024;
 /// Amount of output queued for a client's socket above which no more is taken from the codec (bytes).
 const MAX_QUEUED_OUTPUT_BYTES: usize = 64 * 1024;
 /// The response to a client that doesn't speak HTTP/2.
 const PREFACE_EXPECTED: &str = "this port speaks HTTP/2 by prior knowledge\n";
 
+/// The limit on the bytes read from one connection in a round in which `scheduled` connections are processed. Guards against
+/// clients that together send so much that others wait for long: 8 KiB may be more than a thousand header fields.
+pub(super) fn max_bytes_per_poll(scheduled: usize) -> usize {
+    (MAX_BYTES_PER_ROUND / scheduled.max(1)).clamp(MIN_BYTES_PER_POLL, MAX_BYTES_PER_POLL)
+}
+
 /// The parts of the worker that a connection uses in one turn of the event loop.
 pub(super) struct Turn<'a> {
     /// When processing of the connection began (seconds).
     pub(super) now: f64,
+    /// Limit on the bytes read from the connection.
+    pub(super) max_bytes: usize,
     /// The worker's clock.
     pub(super) clock: &'a Clock,
     /// The worker's state as far as frontends need it.
@@ -244,7 +257,7 @@
 ) -> Option<Exchange> {
     let link = &mut connection.link;
     let active = connection.protocol_state.active.as_deref_mut()?;
-    let available = link.data().len().min(active.session.pipe().free_bytes()).min(MAX_BYTES_PER_POLL);
+    let available = link.data().len().min(active.session.pipe().free_bytes()).min(turn.max_bytes);
     let decision = decide_read(active, available, pressure, turn);
     let read_bytes = decision.read_bytes();
     feed(&active.session, link, read_bytes, read_status);
@@ -255,9 +268,8 @@
         queue_output(session, link);
     }
     // Input that could not be fed stays in the link. A client over its budget is read again at the next sweep.
-    let has_more = read_bytes == MAX_BYTES_PER_POLL
-        || session.pipe().unread() > 0 && read_bytes > 0
-        || link.has_unread();
+    let has_more =
+        read_bytes == turn.max_bytes || session.pipe().unread() > 0 && read_bytes > 0 || link.has_unread();
     Some(Exchange {
         output,
         accepted: session.accepted_streams() > accepted_before,
@@ -325,3 +337,6 @@
         connection.set_state(now, ConnectionState::Idle);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/frontends/http2/mod.rs
+++ b/src/net/frontends/http2/mod.rs
@@ -30,7 +30,7 @@
 use crate::net::io::source::FrontendKind;
 use crate::net::{Availability, FrontendContext, ListenError};
 use abuse_detection::{OverheadBudget, PressureMonitor};
-use connection::{queue_output, SessionEntry, Turn};
+use connection::{max_bytes_per_poll, queue_output, SessionEntry, Turn};
 use session_admission::SessionAdmission;
 use std::collections::HashMap;
 use std::net::TcpListener;
@@ -178,9 +178,12 @@
         let now = turn.clock.now();
         let accept_paused = self.connections.accept(now);
         self.admit_waiting(now, turn.inputs);
-        for id in self.connections.take_scheduled() {
+        let scheduled = self.connections.take_scheduled();
+        let max_bytes = max_bytes_per_poll(scheduled.len());
+        for id in scheduled {
             let now = turn.clock.now();
-            let mut turn = Turn { now, clock: turn.clock, context: turn.context, inputs: turn.inputs };
+            let mut turn =
+                Turn { now, max_bytes, clock: turn.clock, context: turn.context, inputs: turn.inputs };
             self.process_connection(id, &mut turn);
             self.limit_stream_memory(id, now, turn.inputs);
         }
