--- a/src/dispatch/arrival.rs
+++ b/src/dispatch/arrival.rs
@@ -96,7 +96,8 @@
     }
 
     /// Returns the response to an attempt that must not be admitted, because its key could run twice, because the table
-    /// of keys is full, because too many attempts of its key are in flight, or because the attempt could be served with another request's result.
+    /// of keys is full, because too many attempts of its key are in flight, or because the attempt could be served with
+    /// another request's result.
     fn response_to_unsafe_attempt(&self, matched: &MatchedAttempt, times: &ArrivalTimes) -> Option<Response> {
         let is_new = matched.key_match == KeyMatch::New;
         // The key may have run in another process. Admitting the attempt could run it twice, and a rejection would
